--- /dev/null
+++ b/internal/configurer/groups.go
@@ -0,0 +1,50 @@
+package configurer
+
+import (
+	"fmt"
+	"sort"
+)
+
+// maxGroupUpstreams bounds the upstreams that one group holder sends to.
+const maxGroupUpstreams = 16
+
+// GroupSpec is a group as it follows from the document alone.
+type GroupSpec struct {
+	ID        string // <service>.<zone>.<n>
+	Service   string
+	Zone      string
+	Upstreams []Upstream
+}
+
+// Groups derives the groups of a service: its upstreams by zone, split evenly
+// so that no group exceeds 16 upstreams. The result is the same on every VM.
+func (service Service) Groups() []GroupSpec {
+	byZone := map[string][]Upstream{}
+	for _, upstream := range service.Upstreams {
+		byZone[upstream.Zone] = append(byZone[upstream.Zone], upstream)
+	}
+	zones := make([]string, 0, len(byZone))
+	for zone := range byZone {
+		zones = append(zones, zone)
+	}
+	sort.Strings(zones)
+	var groups []GroupSpec
+	for _, zone := range zones {
+		groups = append(groups, service.zoneGroups(zone, byZone[zone])...)
+	}
+	return groups
+}
+
+func (service Service) zoneGroups(zone string, upstreams []Upstream) []GroupSpec {
+	sort.Slice(upstreams, func(i, j int) bool { return upstreams[i].Name < upstreams[j].Name })
+	count := (len(upstreams) + maxGroupUpstreams - 1) / maxGroupUpstreams
+	groups := make([]GroupSpec, count)
+	for n := range groups {
+		groups[n] = GroupSpec{ID: fmt.Sprintf("%s.%s.%d", service.Name, zone, n), Service: service.Name, Zone: zone}
+	}
+	for index, upstream := range upstreams {
+		group := &groups[index%count]
+		group.Upstreams = append(group.Upstreams, upstream)
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/starter/doc.go
@@ -0,0 +1,2 @@
+// Package starter reads the daemon's settings and wires its parts together.
+package starter
