Add first versions of the policy packages

Cause: the dispatcher and the router are written at the same time and need sharder, queuer, placer, deduper and suspecter to compile against.

Conclusion: callers can be written against these interfaces.

--- /dev/null
+++ b/pkg/sharder/table.go
@@ -0,0 +1,64 @@
+package sharder
+
+// pageSize is the number of shards whose owners are copied together by With.
+const pageSize = 256
+
+// Table maps shards to owners. It is immutable and safe for concurrent use. The
+// zero value of T means that a shard has no owner.
+type Table[T comparable] struct {
+	shards int
+	pages  [][]T
+}
+
+// NewTable returns a table of the given number of shards without owners.
+func NewTable[T comparable](shards int) Table[T] {
+	shards = max(shards, 0)
+	table := Table[T]{shards: shards, pages: make([][]T, (shards+pageSize-1)/pageSize)}
+	for index := range table.pages {
+		table.pages[index] = make([]T, min(pageSize, shards-index*pageSize))
+	}
+	return table
+}
+
+// Shards returns the number of shards.
+func (table Table[T]) Shards() int { return table.shards }
+
+// With returns a table in which the shard has the owner. A shard outside the
+// table leaves it unchanged.
+func (table Table[T]) With(shard uint32, owner T) Table[T] {
+	if int64(shard) >= int64(table.shards) {
+		return table
+	}
+	pages := append([][]T(nil), table.pages...)
+	page := append([]T(nil), pages[shard/pageSize]...)
+	page[shard%pageSize] = owner
+	pages[shard/pageSize] = page
+	return Table[T]{shards: table.shards, pages: pages}
+}
+
+// WithOwners returns a table in which each shard of the map has its owner.
+func (table Table[T]) WithOwners(owners map[uint32]T) Table[T] {
+	changed := NewTable[T](table.shards)
+	for index, page := range table.pages {
+		copy(changed.pages[index], page)
+	}
+	for shard, owner := range owners {
+		if int64(shard) < int64(table.shards) {
+			changed.pages[shard/pageSize][shard%pageSize] = owner
+		}
+	}
+	return changed
+}
+
+// Owner returns the shard's owner, and false when it has none.
+func (table Table[T]) Owner(shard uint32) (T, bool) {
+	var none T
+	if int64(shard) >= int64(table.shards) {
+		return none, false
+	}
+	owner := table.pages[shard/pageSize][shard%pageSize]
+	return owner, owner != none
+}
+
+// Lookup returns the owner of the key's shard, and false when it has none.
+func (table Table[T]) Lookup(key string) (T, bool) { return table.Owner(Of(key, table.shards)) }
