Add links between VMs: control calls and forwarded requests

Cause: routers, holders and candidates on different VMs need to talk.

Change: internal/linker has a Server and a Pool over WebSocket with CBOR. A handshake authenticates both sides with HMAC before any other message. Control links carry concurrent calls; request links carry one request at a time. The server tells a client which requests it accepted before it closes a link, so that a request that reaches a closing link is sent elsewhere.

--- /dev/null
+++ b/internal/linker/connection.go
@@ -0,0 +1,200 @@
+package linker
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/coder/websocket"
+	"golang.org/x/sys/unix"
+
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+// linkKind separates control links from request links.
+type linkKind string
+
+const (
+	controlLink linkKind = "control"
+	requestLink linkKind = "request"
+)
+
+// countedConn counts the bytes of a network connection once the handshake has
+// shown to which kind of link it belongs.
+type countedConn struct {
+	net.Conn
+	traffic atomic.Pointer[traffic]
+}
+
+// Read counts what it reads.
+func (conn *countedConn) Read(data []byte) (int, error) {
+	count, err := conn.Conn.Read(data)
+	if traffic := conn.traffic.Load(); traffic != nil {
+		traffic.read.Add(float64(count))
+	}
+	return count, err
+}
+
+// Write counts what it writes.
+func (conn *countedConn) Write(data []byte) (int, error) {
+	count, err := conn.Conn.Write(data)
+	if traffic := conn.traffic.Load(); traffic != nil {
+		traffic.written.Add(float64(count))
+	}
+	return count, err
+}
+
+// connection is an authenticated WebSocket connection.
+type connection struct {
+	socket *websocket.Conn
+	conn   *countedConn
+	raw    syscall.RawConn // nil when conn is not a TCP connection
+	peer   string
+	kind   linkKind
+
+	peek    func(descriptor uintptr) bool
+	quiet   bool // result of peek
+	aborted atomic.Bool
+}
+
+func newConnection(socket *websocket.Conn, conn *countedConn) *connection {
+	made := &connection{socket: socket, conn: conn}
+	if system, ok := conn.Conn.(syscall.Conn); ok {
+		made.raw, _ = system.SyscallConn()
+	}
+	made.peek = func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		made.quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	}
+	return made
+}
+
+// buffers holds the memory of messages between their uses.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// maxKeptBuffer lets a buffer for a body chunk and its frame be used again.
+const maxKeptBuffer = 2 * maxChunk
+
+func newBuffer() *bytes.Buffer { return buffers.Get().(*bytes.Buffer) }
+
+func freeBuffer(buffer *bytes.Buffer) {
+	if buffer == nil || buffer.Cap() > maxKeptBuffer {
+		return
+	}
+	buffer.Reset()
+	buffers.Put(buffer)
+}
+
+// read returns the next message. The caller frees the buffer. Memory grows with
+// the bytes that arrive, not with the size that the peer announces.
+func (connection *connection) read() (*bytes.Buffer, error) {
+	kind, reader, err := connection.socket.Reader(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.MessageBinary {
+		return nil, fmt.Errorf("%w: text message", errProtocol)
+	}
+	buffer := newBuffer()
+	for {
+		space := buffer.AvailableBuffer()
+		if cap(space) < bytes.MinRead {
+			buffer.Grow(max(bytes.MinRead, buffer.Len()))
+			space = buffer.AvailableBuffer()
+		}
+		count, err := reader.Read(space[:cap(space)])
+		buffer.Write(space[:count])
+		if errors.Is(err, io.EOF) {
+			return buffer, nil
+		}
+		if err != nil {
+			freeBuffer(buffer)
+			return nil, err
+		}
+	}
+}
+
+// write sends the message. After an error, the peer has provably not received
+// the whole message: the frame's length is known to the peer, and the kernel
+// did not accept its last byte.
+func (connection *connection) write(message []byte) error {
+	return connection.socket.Write(context.Background(), websocket.MessageBinary, message)
+}
+
+// abort resets the link at once. The reset reaches the peer even when its
+// receive window is full, so that a cancelled upload is noticed.
+func (connection *connection) abort() {
+	if !connection.aborted.CompareAndSwap(false, true) {
+		return
+	}
+	if tcp, ok := connection.conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.conn.Close()
+}
+
+// close frees the link. The owner calls it once nobody reads or writes.
+func (connection *connection) close() {
+	_ = connection.socket.CloseNow()
+}
+
+// isQuiet reports whether an idle link is still open and the peer has sent
+// nothing. An idle link on which anything arrives is being closed.
+func (connection *connection) isQuiet() bool {
+	if connection.aborted.Load() {
+		return false
+	}
+	if connection.raw == nil {
+		return true
+	}
+	connection.quiet = false
+	return connection.raw.Read(connection.peek) == nil && connection.quiet
+}
+
+// isReset reports whether the peer has reset the link, without reading from it.
+func (connection *connection) isReset() bool {
+	if connection.aborted.Load() {
+		return true
+	}
+	if connection.raw == nil {
+		return false
+	}
+	reset := false
+	err := connection.raw.Control(func(descriptor uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpStateClose
+	})
+	return reset || err != nil
+}
+
+// tcpStateClose is TCP_CLOSE of Linux's enum of TCP states.
+const tcpStateClose = 7
+
+// setReadTimeout bounds the wait for the next bytes; 0 removes the bound. The
+// network stack knows only the system clock.
+func (connection *connection) setReadTimeout(timeout time.Duration) {
+	var deadline time.Time
+	if timeout > 0 {
+		deadline = clocker.System{}.Now().Add(timeout)
+	}
+	_ = connection.conn.SetReadDeadline(deadline)
+}
+
+// setWriteTimeout bounds the next write.
+func (connection *connection) setWriteTimeout(timeout time.Duration) {
+	_ = connection.conn.SetWriteDeadline(clocker.System{}.Now().Add(timeout))
+}
+
+// tuneSocket sets the options of a link's socket.
+func tuneSocket(descriptor uintptr) {
+	_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+}
--- /dev/null
+++ b/internal/linker/forward.go
@@ -0,0 +1,173 @@
+package linker
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cuminstream/cuminstream/internal/carrier"
+	"github.com/cuminstream/cuminstream/pkg/answerer"
+)
+
+// requestClient is the connecting side of a request link.
+type requestClient struct {
+	peer       *peer
+	connection *connection
+	sent       uint64 // messages written
+	received   uint64 // messages read
+	number     uint64 // requests sent
+	idleSince  time.Time
+}
+
+func (link *requestClient) close() {
+	link.connection.abort()
+	link.connection.close()
+}
+
+// errTooManyLinks is the cause when MaxLinksPerPeer is reached.
+var errTooManyLinks = errors.New("too many requests are being forwarded to the VM")
+
+// take returns an idle link, or dials a new one. pooled tells which.
+func (peer *peer) take(ctx context.Context) (link *requestClient, pooled bool, err error) {
+	peer.mutex.Lock()
+	for len(peer.idle) > 0 {
+		link := peer.idle[len(peer.idle)-1]
+		peer.idle = peer.idle[:len(peer.idle)-1]
+		if link.connection.isQuiet() {
+			peer.mutex.Unlock()
+			return link, true, nil
+		}
+		delete(peer.open, link)
+		link.close()
+	}
+	err = peer.gate()
+	if err == nil && len(peer.open)+peer.dialing >= peer.pool.MaxLinksPerPeer {
+		err = errTooManyLinks
+	}
+	if err != nil {
+		peer.mutex.Unlock()
+		return nil, false, err
+	}
+	peer.dialing++
+	peer.mutex.Unlock()
+	connection, err := peer.dial(ctx, requestLink)
+	peer.mutex.Lock()
+	defer peer.mutex.Unlock()
+	peer.dialing--
+	if err != nil {
+		return nil, false, err
+	}
+	link = &requestClient{peer: peer, connection: connection}
+	peer.open[link] = struct{}{}
+	peer.pool.Metrics.links.WithLabelValues(string(requestLink), "connecting").Inc()
+	return link, false, nil
+}
+
+// give returns the link after an exchange.
+func (peer *peer) give(link *requestClient, healthy bool) {
+	if healthy {
+		link.connection.setReadTimeout(0)
+	}
+	closed := peer.pool.isClosed()
+	peer.mutex.Lock()
+	defer peer.mutex.Unlock()
+	if healthy && !closed && !link.connection.aborted.Load() {
+		link.idleSince = peer.pool.Clock.Now()
+		peer.idle = append(peer.idle, link)
+		return
+	}
+	delete(peer.open, link)
+	link.close()
+}
+
+// Forward sends the request to the VM and returns the answer of its handler.
+// The context governs the exchange until the response's body has been read to
+// its end or is closed. Forward may read request.Body until then.
+//
+// When the link fails, the error kind is NotRunUnavailable only if the peer has
+// provably not received the whole head of the request.
+func (pool *Pool) Forward(ctx context.Context, vm string, request *carrier.Request) (*carrier.Response, error) {
+	pool.init()
+	if vm == pool.VM && pool.Local != nil {
+		return pool.Local.Handler.Handle(ctx, request)
+	}
+	response, err := pool.forward(ctx, vm, request)
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+func (pool *Pool) forward(ctx context.Context, vm string, request *carrier.Request) (*carrier.Response, *answerer.Error) {
+	peer, err := pool.peer(vm)
+	if err != nil {
+		return nil, lost(false, false, "forward to VM %q: %w", vm, err)
+	}
+	whole, failed := wholeBody(request)
+	defer freeBuffer(whole)
+	if failed != nil {
+		return nil, failed
+	}
+	for {
+		link, pooled, err := peer.take(ctx)
+		if err != nil {
+			return nil, pool.notSent(ctx, vm, err)
+		}
+		exchange := &forwarding{link: link, request: request, whole: whole}
+		failed := exchange.run(ctx)
+		if failed == nil {
+			return &exchange.response, nil
+		}
+		// A pooled link that the peer has closed says nothing about the others.
+		if failed.undelivered && pooled && !exchange.streaming && ctx.Err() == nil {
+			continue
+		}
+		if failed.undelivered {
+			return nil, pool.notSent(ctx, vm, failed.err)
+		}
+		return nil, failed.err
+	}
+}
+
+// notSent is the error of a request of which the peer received nothing.
+func (pool *Pool) notSent(ctx context.Context, vm string, err error) *answerer.Error {
+	kind := answerer.NotRunUnavailable
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		kind = answerer.NotRunDeadline
+	}
+	pool.Metrics.failures.WithLabelValues(string(kind)).Inc()
+	return answerer.New(kind, "forward to VM %q: %w", vm, err)
+}
+
+// wholeBody reads a body of known and small length, which is then sent in one
+// message with the head. Nothing of the request has been sent when it fails.
+func wholeBody(request *carrier.Request) (*bytes.Buffer, *answerer.Error) {
+	if request.Body == nil || request.ContentLength < 0 || request.ContentLength > maxChunk {
+		return nil, nil
+	}
+	buffer := newBuffer()
+	_, err := buffer.ReadFrom(io.LimitReader(request.Body, maxChunk+1))
+	if err == nil && int64(buffer.Len()) != request.ContentLength {
+		err = fmt.Errorf("body has %d bytes in place of %d", buffer.Len(), request.ContentLength)
+	}
+	if err == nil {
+		return buffer, nil
+	}
+	freeBuffer(buffer)
+	return nil, bodyError(request, false, err)
+}
+
+// bodyError is the error of a request whose body could not be read.
+func bodyError(request *carrier.Request, delivered bool, err error) *answerer.Error {
+	var known *answerer.Error
+	if errors.As(err, &known) && !(delivered && known.Kind.Answer().NotRun) {
+		return known
+	}
+	if !delivered {
+		return answerer.New(answerer.Malformed, "read request body: %w", err)
+	}
+	return lost(true, request.Idempotent, "read request body: %w", err)
+}
--- /dev/null
+++ b/internal/linker/handshake.go
@@ -0,0 +1,150 @@
+package linker
+
+import (
+	"bytes"
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/coder/websocket"
+
+	"github.com/cuminstream/cuminstream/pkg/answerer"
+)
+
+const (
+	// protocolVersion is part of both proofs, so that versions which do not
+	// understand each other fail in the handshake.
+	protocolVersion = "cuminstream-link-1"
+	nonceLength     = 32
+)
+
+// hello is the first message, from the accepting side.
+type hello struct {
+	Nonce []byte `cbor:"1,keyasint"`
+	VM    string `cbor:"2,keyasint"`
+}
+
+// proof is the answer of the connecting side.
+type proof struct {
+	Nonce []byte   `cbor:"1,keyasint"`
+	VM    string   `cbor:"2,keyasint"`
+	Kind  linkKind `cbor:"3,keyasint"`
+	Code  []byte   `cbor:"4,keyasint"`
+}
+
+// acceptance proves that the accepting side knows the key as well.
+type acceptance struct {
+	Code []byte `cbor:"1,keyasint"`
+}
+
+// errUnproved is returned when the other side does not know the shared key.
+var errUnproved = errors.New("peer did not prove knowledge of the shared key")
+
+// code authenticates one direction of the handshake. The role keeps a proof
+// from being reflected to its sender; each field is preceded by its length.
+func code(key []byte, role string, hello hello, proof proof) []byte {
+	mac := hmac.New(sha256.New, key)
+	for _, field := range [][]byte{
+		[]byte(protocolVersion), []byte(role), hello.Nonce, []byte(hello.VM),
+		proof.Nonce, []byte(proof.VM), []byte(proof.Kind),
+	} {
+		var length [4]byte
+		binary.BigEndian.PutUint32(length[:], uint32(len(field)))
+		mac.Write(length[:])
+		mac.Write(field)
+	}
+	return mac.Sum(nil)
+}
+
+const (
+	connectingRole = "connecting"
+	acceptingRole  = "accepting"
+)
+
+func newNonce() []byte {
+	nonce := make([]byte, nonceLength)
+	_, _ = rand.Read(nonce) // never fails since Go 1.24
+	return nonce
+}
+
+// acceptPeer runs the handshake of the accepting side.
+func acceptPeer(ctx context.Context, connection *connection, key []byte, vm string) error {
+	greeting := hello{Nonce: newNonce(), VM: vm}
+	if err := sendHandshake(ctx, connection.socket, greeting); err != nil {
+		return err
+	}
+	var answer proof
+	if err := receiveHandshake(ctx, connection.socket, &answer); err != nil {
+		return err
+	}
+	if answer.Kind != controlLink && answer.Kind != requestLink {
+		return fmt.Errorf("%w: link kind %q", errProtocol, answer.Kind)
+	}
+	if len(answer.Nonce) != nonceLength || len(answer.VM) == 0 || len(answer.VM) > maxNameLength {
+		return fmt.Errorf("%w: malformed proof", errProtocol)
+	}
+	if !hmac.Equal(answer.Code, code(key, connectingRole, greeting, answer)) {
+		return errUnproved
+	}
+	connection.peer, connection.kind = answer.VM, answer.Kind
+	return sendHandshake(ctx, connection.socket, acceptance{Code: code(key, acceptingRole, greeting, answer)})
+}
+
+// provePeer runs the handshake of the connecting side, which expects the VM
+// with the given name at the other end.
+func provePeer(ctx context.Context, connection *connection, key []byte, vm, wanted string, kind linkKind) error {
+	var greeting hello
+	if err := receiveHandshake(ctx, connection.socket, &greeting); err != nil {
+		return err
+	}
+	if greeting.VM != wanted {
+		return fmt.Errorf("the address belongs to VM %q instead of %q", greeting.VM, wanted)
+	}
+	if len(greeting.Nonce) != nonceLength {
+		return fmt.Errorf("%w: malformed hello", errProtocol)
+	}
+	answer := proof{Nonce: newNonce(), VM: vm, Kind: kind}
+	answer.Code = code(key, connectingRole, greeting, answer)
+	if err := sendHandshake(ctx, connection.socket, answer); err != nil {
+		return err
+	}
+	var accepted acceptance
+	if err := receiveHandshake(ctx, connection.socket, &accepted); err != nil {
+		if websocket.CloseStatus(err) == websocket.StatusPolicyViolation {
+			return answerer.New(answerer.Unauthenticated, "VM %q refused the shared key: %w", wanted, err)
+		}
+		return err
+	}
+	if !hmac.Equal(accepted.Code, code(key, acceptingRole, greeting, answer)) {
+		return answerer.New(answerer.Unauthenticated, "VM %q: %w", wanted, errUnproved)
+	}
+	connection.peer, connection.kind = wanted, kind
+	return nil
+}
+
+func sendHandshake(ctx context.Context, socket *websocket.Conn, message any) error {
+	var buffer bytes.Buffer
+	if err := encode(&buffer, message); err != nil {
+		return err
+	}
+	return socket.Write(ctx, websocket.MessageBinary, buffer.Bytes())
+}
+
+func receiveHandshake(ctx context.Context, socket *websocket.Conn, message any) error {
+	kind, data, err := socket.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if kind != websocket.MessageBinary {
+		return fmt.Errorf("%w: text message", errProtocol)
+	}
+	rest, err := decodeFirst(data, message)
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("%w: %d bytes after the handshake message", errProtocol, len(rest))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/linker/pool.go
@@ -0,0 +1,306 @@
+package linker
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cuminstream/cuminstream/pkg/answerer"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+// Pool connects the local VM to others: one control link for each peer that is
+// called, and as many request links as requests are forwarded at once. The
+// exported fields are set before its first use.
+type Pool struct {
+	// VM is the name of the local VM.
+	VM string
+	// Key is the key that all VMs of the system share.
+	Key []byte
+	// Directory tells the addresses of the other VMs.
+	Directory Directory
+	// Local answers calls and requests for the local VM without a link.
+	Local *Server
+	// Clock is clocker.System when not set.
+	Clock clocker.Clock
+	// Metrics may be shared with the Server.
+	Metrics *Metrics
+
+	// DialTimeout bounds the time to connect and to authenticate.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused link is kept.
+	IdleTimeout time.Duration
+	// MaxLinksPerPeer bounds the request links to one VM.
+	MaxLinksPerPeer int
+
+	once  sync.Once
+	group errgroup.Group
+
+	mutex  sync.Mutex
+	closed bool
+	peers  map[string]*peer
+}
+
+var _ Caller = (*Pool)(nil)
+
+// errPoolClosed is the cause of failures after Run has ended.
+var errPoolClosed = errors.New("the VM is stopping")
+
+func (pool *Pool) init() {
+	pool.once.Do(func() {
+		if pool.Clock == nil {
+			pool.Clock = clocker.System{}
+		}
+		if pool.Metrics == nil {
+			pool.Metrics = NewMetrics()
+		}
+		pool.DialTimeout = orDefault(pool.DialTimeout, defaultDialTimeout)
+		pool.IdleTimeout = orDefault(pool.IdleTimeout, defaultIdleTimeout)
+		pool.MaxLinksPerPeer = orDefault(pool.MaxLinksPerPeer, defaultMaxLinksPerPeer)
+		pool.peers = map[string]*peer{}
+	})
+}
+
+// Run closes links that have been idle for IdleTimeout, until ctx is done. It
+// then closes all links, which ends the calls and requests that still use them.
+func (pool *Pool) Run(ctx context.Context) error {
+	pool.init()
+	ticker := pool.Clock.NewTicker(pool.IdleTimeout / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C():
+			for _, peer := range pool.all() {
+				peer.closeIdle(pool.Clock.Now().Add(-pool.IdleTimeout))
+			}
+		case <-ctx.Done():
+			pool.mutex.Lock()
+			pool.closed = true
+			pool.mutex.Unlock()
+			for _, peer := range pool.all() {
+				peer.closeAll()
+			}
+			return pool.group.Wait()
+		}
+	}
+}
+
+func (pool *Pool) all() []*peer {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	peers := make([]*peer, 0, len(pool.peers))
+	for _, peer := range pool.peers {
+		peers = append(peers, peer)
+	}
+	return peers
+}
+
+// start runs function in a goroutine that Run waits for.
+func (pool *Pool) start(function func()) error {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if pool.closed {
+		return errPoolClosed
+	}
+	pool.group.Go(func() error {
+		function()
+		return nil
+	})
+	return nil
+}
+
+// peer returns the state of the VM, whose address the Directory must know.
+func (pool *Pool) peer(vm string) (*peer, error) {
+	pool.init()
+	address, ok := pool.Directory.LinkAddress(vm)
+	if !ok {
+		return nil, fmt.Errorf("VM %q is not known", vm)
+	}
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if pool.closed {
+		return nil, errPoolClosed
+	}
+	known := pool.peers[vm]
+	if known == nil {
+		known = &peer{pool: pool, name: vm, open: map[*requestClient]struct{}{}}
+		pool.peers[vm] = known
+	}
+	known.setAddress(address)
+	return known, nil
+}
+
+// peer holds the links to one VM. Lock order: pool, peer.
+type peer struct {
+	pool *Pool
+	name string
+
+	mutex      sync.Mutex
+	address    string
+	failures   int // dials that failed in a row
+	retryAt    time.Time
+	lastError  error
+	control    *callClient
+	connecting chan struct{} // closed when the dial of the control link ends
+	idle       []*requestClient
+	open       map[*requestClient]struct{} // all request links
+	dialing    int
+}
+
+// setAddress drops the links to a former address of the VM.
+func (peer *peer) setAddress(address string) {
+	peer.mutex.Lock()
+	defer peer.mutex.Unlock()
+	if peer.address == address {
+		return
+	}
+	if peer.address != "" {
+		peer.dropIdle(0)
+		if peer.control != nil {
+			peer.control.connection.abort()
+			peer.control = nil
+		}
+	}
+	peer.address = address
+	peer.failures, peer.retryAt, peer.lastError = 0, time.Time{}, nil
+}
+
+// dropIdle closes all idle links but the last keep ones. The mutex is held.
+func (peer *peer) dropIdle(keep int) {
+	count := max(len(peer.idle)-keep, 0)
+	for _, link := range peer.idle[:count] {
+		delete(peer.open, link)
+		link.close()
+	}
+	peer.idle = slices.Delete(peer.idle, 0, count)
+}
+
+func (peer *peer) closeIdle(before time.Time) {
+	peer.mutex.Lock()
+	defer peer.mutex.Unlock()
+	fresh := 0
+	for fresh < len(peer.idle) && peer.idle[len(peer.idle)-1-fresh].idleSince.After(before) {
+		fresh++
+	}
+	peer.dropIdle(fresh)
+	if peer.control != nil && peer.control.unusedSince(before) {
+		peer.control.connection.abort()
+		peer.control = nil
+	}
+}
+
+func (peer *peer) closeAll() {
+	peer.mutex.Lock()
+	defer peer.mutex.Unlock()
+	peer.dropIdle(0)
+	for link := range peer.open {
+		link.connection.abort()
+	}
+	if peer.control != nil {
+		peer.control.connection.abort()
+	}
+}
+
+// gate fails while a recent dial has failed, so that requests for an
+// unreachable VM are refused at once. The mutex is held.
+func (peer *peer) gate() error {
+	if peer.pool.Clock.Now().Before(peer.retryAt) {
+		return fmt.Errorf("VM %q was unreachable moments ago: %w", peer.name, peer.lastError)
+	}
+	return nil
+}
+
+// note records the result of a dial for gate.
+func (peer *peer) note(err error) {
+	peer.mutex.Lock()
+	defer peer.mutex.Unlock()
+	if err == nil {
+		peer.failures, peer.retryAt, peer.lastError = 0, time.Time{}, nil
+		return
+	}
+	backoff := min(minBackoff<<min(peer.failures, 10), maxBackoff)
+	peer.failures++
+	peer.retryAt = peer.pool.Clock.Now().Add(jitter(backoff))
+	peer.lastError = err
+}
+
+// jitter returns a random duration between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	var bytes [8]byte
+	_, _ = rand.Read(bytes[:])
+	return d/2 + time.Duration(binary.BigEndian.Uint64(bytes[:])%uint64(d/2+1))
+}
+
+// dial connects to the peer and proves the key to it.
+func (peer *peer) dial(ctx context.Context, kind linkKind) (*connection, error) {
+	pool := peer.pool
+	peer.mutex.Lock()
+	address := peer.address
+	peer.mutex.Unlock()
+	bound, cancel := clocker.WithTimeout(ctx, pool.Clock, pool.DialTimeout)
+	defer cancel()
+	connection, err := pool.connect(bound, peer.name, address, kind)
+	result := "connected"
+	if err != nil {
+		result = "failed"
+	}
+	pool.Metrics.handshakes.WithLabelValues("connecting", result).Inc()
+	if err != nil && ctx.Err() != nil {
+		return nil, err // the caller gave up; this says nothing about the peer
+	}
+	peer.note(err)
+	return connection, err
+}
+
+func (pool *Pool) connect(ctx context.Context, vm, address string, kind linkKind) (*connection, error) {
+	var counted *countedConn
+	transport := &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := newDialer().DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			counted = &countedConn{Conn: conn}
+			return counted, nil
+		},
+	}
+	socket, _, err := websocket.Dial(ctx, "ws://"+address+"/", &websocket.DialOptions{
+		HTTPClient: &http.Client{Transport: transport}, CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, err
+	}
+	connection := newConnection(socket, counted)
+	socket.SetReadLimit(maxHandshakeMessage)
+	if err := provePeer(ctx, connection, pool.Key, pool.VM, vm, kind); err != nil {
+		_ = socket.CloseNow()
+		return nil, err
+	}
+	socket.SetReadLimit(maxMessage)
+	traffic := pool.Metrics.of(kind)
+	counted.traffic.Store(&traffic)
+	return connection, nil
+}
+
+// lost returns the error of a call or request whose link failed.
+func lost(delivered, idempotent bool, format string, args ...any) *answerer.Error {
+	switch {
+	case !delivered:
+		return answerer.New(answerer.NotRunUnavailable, format, args...)
+	case idempotent:
+		return answerer.New(answerer.UpstreamFailed, format, args...)
+	default:
+		return answerer.New(answerer.OutcomeUnknown, format, args...)
+	}
+}
--- /dev/null
+++ b/internal/linker/request_server.go
@@ -0,0 +1,340 @@
+package linker
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cuminstream/cuminstream/internal/carrier"
+	"github.com/cuminstream/cuminstream/pkg/answerer"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/queuer"
+)
+
+// requestServer is the accepting side of a request link. One goroutine reads
+// the link, so that a cancelled request is noticed while its handler runs;
+// another one runs the handlers and writes the answers.
+type requestServer struct {
+	server     *Server
+	connection *connection
+	context    context.Context
+	cancel     context.CancelFunc
+	work       chan *exchange
+	received   uint64 // messages read
+	sent       uint64 // messages written
+
+	mutex    sync.Mutex
+	accepted uint64    // requests accepted so far
+	current  *exchange // unanswered request
+	writing  bool      // an answer is being made or written
+	stopping bool      // no further request is accepted
+	closing  bool      // the closing message is sent or about to be sent
+
+	// Used by the reading goroutine only.
+	body     *requestBody // open body of the newest request
+	dropping bool         // a request arrived after the link began to stop
+}
+
+// exchange is one request on the link.
+type exchange struct {
+	number  uint64
+	request *carrier.Request
+	body    *requestBody // nil when the whole body came with the head
+	context context.Context
+	cancel  context.CancelFunc
+}
+
+func newRequestServer(server *Server, connection *connection) *requestServer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &requestServer{server: server, connection: connection, context: ctx, cancel: cancel, work: make(chan *exchange, 1)}
+}
+
+func (link *requestServer) abort() {
+	link.cancel()
+	link.connection.abort()
+}
+
+// stop lets the request in flight end. The closing message that follows it, or
+// that is sent at once on an idle link, tells the client which requests were
+// accepted, so that it can send the next one elsewhere.
+func (link *requestServer) stop() {
+	link.mutex.Lock()
+	link.stopping = true
+	link.mutex.Unlock()
+	link.closeWhenIdle()
+}
+
+// closeWhenIdle sends the closing message once, when the link is stopping and
+// no other goroutine writes to it.
+func (link *requestServer) closeWhenIdle() {
+	link.mutex.Lock()
+	now := link.stopping && !link.closing && !link.writing && link.current == nil
+	link.closing = link.closing || now
+	accepted := link.accepted
+	link.mutex.Unlock()
+	if !now {
+		return
+	}
+	buffer := newBuffer()
+	defer freeBuffer(buffer)
+	link.connection.setWriteTimeout(closingTimeout)
+	link.sent++
+	frame := frame{Kind: kindClosing, Sequence: link.sent, Request: accepted}
+	if encode(buffer, frame, closing{Accepted: accepted}) != nil || link.connection.write(buffer.Bytes()) != nil {
+		link.abort()
+		return
+	}
+	// The client closes the link after it has read the message. What it sends
+	// until then is dropped.
+	link.connection.setReadTimeout(closingTimeout)
+}
+
+func (link *requestServer) serve() error {
+	var group errgroup.Group
+	group.Go(func() error {
+		for exchange := range link.work {
+			if err := link.answer(exchange); err != nil {
+				link.abort()
+			}
+			link.mutex.Lock()
+			link.writing = false
+			link.mutex.Unlock()
+			link.closeWhenIdle()
+		}
+		return nil
+	})
+	var err error
+	for err == nil {
+		err = link.receive()
+	}
+	link.cancel()
+	link.body.fail(err)
+	close(link.work)
+	_ = group.Wait()
+	return err
+}
+
+// receive reads one message and acts on it.
+func (link *requestServer) receive() error {
+	buffer, err := link.connection.read()
+	if err != nil {
+		return err
+	}
+	if link.dropping {
+		freeBuffer(buffer)
+		return nil
+	}
+	var frame frame
+	rest, err := decodeFirst(buffer.Bytes(), &frame)
+	if err != nil {
+		return err
+	}
+	link.received++
+	if frame.Sequence != link.received {
+		return fmt.Errorf("%w: message %d arrived in place of %d", errProtocol, frame.Sequence, link.received)
+	}
+	switch frame.Kind {
+	case kindRequestHead:
+		err = link.begin(frame, rest)
+		freeBuffer(buffer)
+		return err
+	case kindBodyChunk, kindBodyEnd:
+		if link.body == nil || frame.Request != link.body.number {
+			return fmt.Errorf("%w: body of request %d is not open", errProtocol, frame.Request)
+		}
+		return link.continueBody(frame, rest, buffer)
+	default:
+		return fmt.Errorf("%w: message kind %d on a request link", errProtocol, frame.Kind)
+	}
+}
+
+func (link *requestServer) continueBody(frame frame, rest []byte, buffer *bytes.Buffer) error {
+	if frame.Kind == kindBodyChunk {
+		if len(rest) > maxChunk {
+			return fmt.Errorf("%w: body chunk of %d bytes", errProtocol, len(rest))
+		}
+		buffer.Next(buffer.Len() - len(rest))
+		return link.body.push(buffer, link)
+	}
+	var end bodyEnd
+	_, err := decodeFirst(rest, &end)
+	freeBuffer(buffer)
+	if err != nil {
+		return err
+	}
+	link.body.end(end)
+	link.body = nil
+	return nil
+}
+
+// begin accepts a request and hands it to the other goroutine. A request that
+// arrives after the closing message is dropped unread.
+func (link *requestServer) begin(frame frame, rest []byte) error {
+	var head requestHead
+	data, err := decodeFirst(rest, &head)
+	if err != nil {
+		return err
+	}
+	link.mutex.Lock()
+	busy, stopping := link.current != nil || link.body != nil, link.stopping
+	expected := link.accepted + 1
+	if !busy && !stopping && frame.Request == expected {
+		link.accepted++
+		link.current = link.newExchange(frame, head, data)
+		link.writing = true
+	}
+	current := link.current
+	link.mutex.Unlock()
+	switch {
+	case stopping && !busy:
+		link.dropping = true
+		return nil
+	case busy || frame.Request != expected:
+		return fmt.Errorf("%w: request %d in place of %d", errProtocol, frame.Request, expected)
+	}
+	link.body = current.body
+	link.work <- current
+	return nil
+}
+
+func (link *requestServer) newExchange(frame frame, head requestHead, data []byte) *exchange {
+	made := &exchange{number: frame.Request, request: &carrier.Request{
+		ID: head.ID, Service: head.Service, Group: head.Group, Key: head.Key, Shard: head.Shard,
+		Rank: queuer.Rank(head.Rank), Idempotent: head.Idempotent, Fingerprint: head.Fingerprint,
+		Method: head.Method, Target: head.Target, Host: head.Host, Header: head.Header, ContentLength: head.ContentLength,
+	}}
+	if made.request.Header == nil {
+		made.request.Header = http.Header{}
+	}
+	clock := link.server.Clock
+	if head.Left > 0 {
+		made.request.Deadline = clock.Now().Add(head.Left)
+	}
+	made.context, made.cancel = withLeft(link.context, clock, head.Left)
+	switch {
+	case head.HasBody && frame.Last:
+		// The handler may keep reading the body after it has answered, so the
+		// bytes are not shared with the buffer of the link.
+		made.request.Body = bytes.NewReader(bytes.Clone(data))
+		made.request.Trailer = head.Trailer
+	case head.HasBody:
+		made.body = newRequestBody(frame.Request, made.request)
+		made.request.Body = made.body
+	}
+	return made
+}
+
+// answer runs the handler and writes its answer.
+func (link *requestServer) answer(exchange *exchange) error {
+	defer exchange.cancel()
+	defer exchange.body.abandon()
+	response, err := link.server.Handler.Handle(exchange.context, exchange.request)
+	if err != nil {
+		return link.send(exchange, kindFailure, true, failureOf(err), nil)
+	}
+	if response.Body == nil {
+		response.Body = http.NoBody
+	}
+	defer response.Body.Close()
+	return link.sendResponse(exchange, response)
+}
+
+func (link *requestServer) sendResponse(exchange *exchange, response *carrier.Response) error {
+	head := responseHead{Status: response.Status, Header: response.Header, ContentLength: response.ContentLength}
+	if response.ContentLength >= 0 && response.ContentLength <= maxChunk {
+		buffer := newBuffer()
+		defer freeBuffer(buffer)
+		_, err := buffer.ReadFrom(io.LimitReader(response.Body, maxChunk))
+		head.Trailer = response.Trailer
+		complete := err == nil && int64(buffer.Len()) == response.ContentLength
+		if err := link.send(exchange, kindResponseHead, complete, head, buffer.Bytes()); err != nil {
+			return err
+		}
+		if !complete {
+			return fmt.Errorf("response body ended after %d of %d bytes: %w", buffer.Len(), response.ContentLength, err)
+		}
+		return nil
+	}
+	if err := link.send(exchange, kindResponseHead, false, head, nil); err != nil {
+		return err
+	}
+	return link.sendBody(exchange, response)
+}
+
+func (link *requestServer) sendBody(exchange *exchange, response *carrier.Response) error {
+	buffer := newBuffer()
+	defer freeBuffer(buffer)
+	buffer.Grow(maxChunk)
+	chunk := buffer.AvailableBuffer()[:maxChunk]
+	for {
+		count, err := response.Body.Read(chunk)
+		if count > 0 {
+			if err := link.send(exchange, kindBodyChunk, false, nil, chunk[:count]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return link.send(exchange, kindResponseEnd, true, bodyEnd{Trailer: response.Trailer}, nil)
+		}
+		if err != nil {
+			return fmt.Errorf("read response body: %w", err)
+		}
+	}
+}
+
+// send writes one message of the answer. The last message frees the link for
+// the next request before the client can know that it may send one.
+func (link *requestServer) send(exchange *exchange, kind messageKind, last bool, typed any, data []byte) error {
+	link.sent++
+	buffer := newBuffer()
+	defer freeBuffer(buffer)
+	err := encode(buffer, frame{Kind: kind, Sequence: link.sent, Request: exchange.number, Last: last})
+	if err == nil && typed != nil {
+		err = encode(buffer, typed)
+	}
+	if err != nil {
+		return err
+	}
+	if buffer.Len()+len(data) > maxMessage {
+		return fmt.Errorf("message of %d bytes is above the bound of %d", buffer.Len()+len(data), maxMessage)
+	}
+	buffer.Write(data)
+	if !last {
+		return link.connection.write(buffer.Bytes())
+	}
+	exchange.body.abandon()
+	link.mutex.Lock()
+	link.current = nil
+	link.mutex.Unlock()
+	return link.connection.write(buffer.Bytes())
+}
+
+// resetCheck returns a timer for the checks of a body that cannot be handed on.
+func (link *requestServer) resetCheck() clocker.Timer {
+	return link.server.Clock.NewTimer(resetCheckInterval)
+}
+
+// cutBody is the error of a body that ended before its end message.
+func cutBody(cause error) *answerer.Error {
+	if cause == nil || errors.Is(cause, io.EOF) {
+		cause = io.ErrUnexpectedEOF
+	}
+	return answerer.New(answerer.CutBody, "the body was cut: %w", cause)
+}
+
+// remaining converts a deadline to the time left. It reports false when the
+// deadline has passed.
+func remaining(clock clocker.Clock, deadline time.Time) (time.Duration, bool) {
+	if deadline.IsZero() {
+		return 0, true
+	}
+	left := deadline.Sub(clock.Now())
+	return left, left > 0
+}
