Add the router, the locator, the operators' side and the CLI

Cause: requests need a way in, and operators a way to see and edit.

Change: router (rules, body buffering up to 64 KiB, attempts over the candidates of a group, local refusals, cancellation when a VM becomes suspected), locator, homes, operators' listener, the operations of the cuminstream program, the daemon's settings and the process launcher. linker.ErrLinkLost tells a lost link from an answered error, because only the former may be repeated with the same ID at another holder.

Ruled out: a rank header that raises the urgency; a caller could then pass every other caller.

Before and after: not measured; the parts run only once they are wired.

--- a/internal/linker/forwarding.go
+++ b/internal/linker/forwarding.go
@@ -263,7 +263,7 @@
 	case cause != nil:
 		known = lost(true, request.Idempotent, "forwarded request was given up: %w", cause)
 	default:
-		known = lost(true, request.Idempotent, "VM %q: the link ended before the answer: %w", forwarding.link.peer.name, err)
+		known = lost(true, request.Idempotent, "VM %q: %w: %w", forwarding.link.peer.name, ErrLinkLost, err)
 	}
 	forwarding.link.peer.pool.Metrics.failures.WithLabelValues(string(known.Kind)).Inc()
 	return &failedForward{err: known}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -1,6 +1,14 @@
 package linker
 
-import "context"
+import (
+	"context"
+	"errors"
+)
+
+// ErrLinkLost is a cause of Forward's error when the link ended after the
+// request may have been delivered and before the other VM answered. An error
+// that the other VM answered does not have it.
+var ErrLinkLost = errors.New("the link ended before the answer")
 
 // CallHandler answers a control call from the named VM. decode reads the typed
 // body of the call; the returned value is encoded as the answer.
--- /dev/null
+++ b/internal/router/reply.go
@@ -0,0 +1,95 @@
+package router
+
+import (
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cuminstream/cuminstream/internal/carrier"
+	"github.com/cuminstream/cuminstream/pkg/answerer"
+)
+
+// copyBuffers holds the buffers that response bodies are copied through.
+var copyBuffers = sync.Pool{New: func() any { return new([32 << 10]byte) }}
+
+// reply passes the response on to the caller and returns resultDone, or
+// answerer.CutBody when the body ended early on either side.
+func (router *Router) reply(writer http.ResponseWriter, incoming *http.Request, response *carrier.Response) answerer.Kind {
+	defer response.Body.Close()
+	header := writer.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	header.Set(answerer.HeaderResult, string(resultDone))
+	announced := announceTrailers(header, response.Trailer)
+	if response.ContentLength >= 0 && !announced {
+		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	writer.WriteHeader(response.Status)
+	if incoming.Method == http.MethodHead {
+		return resultDone
+	}
+	if !copyBody(writer, response) {
+		return answerer.CutBody
+	}
+	for name, values := range response.Trailer {
+		header[http.TrailerPrefix+name] = values
+	}
+	return resultDone
+}
+
+// announceTrailers names the trailers that the upstream announced, and reports
+// whether there are any.
+func announceTrailers(header, trailer http.Header) bool {
+	for name := range trailer {
+		header.Add("Trailer", name)
+	}
+	return len(trailer) > 0
+}
+
+func copyBody(writer http.ResponseWriter, response *carrier.Response) bool {
+	buffer := copyBuffers.Get().(*[32 << 10]byte)
+	defer copyBuffers.Put(buffer)
+	flush := response.ContentLength < 0
+	for {
+		count, err := response.Body.Read(buffer[:])
+		if count > 0 {
+			if _, writeErr := writer.Write(buffer[:count]); writeErr != nil {
+				return false
+			}
+			if flush {
+				_ = http.NewResponseController(writer).Flush()
+			}
+		}
+		if err != nil {
+			return err == io.EOF
+		}
+	}
+}
+
+// refuse answers with the table's answer for the error kind. A request that
+// could not be parsed may be nil.
+func (router *Router) refuse(writer http.ResponseWriter, request *carrier.Request, err *answerer.Error, started time.Time) {
+	answer := err.Kind.Answer()
+	header := writer.Header()
+	header.Set(answerer.HeaderResult, string(err.Kind))
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if answer.NotRun {
+		header.Set(answerer.HeaderNotRun, "true")
+	}
+	if err.RetryAfter > 0 {
+		// Retry-After counts whole seconds; the exact value has its own header.
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(err.RetryAfter.Seconds()))))
+		header.Set(headerRetryAfter, strconv.FormatInt(err.RetryAfter.Milliseconds()+1, 10))
+	}
+	writer.WriteHeader(answer.Status)
+	_, _ = io.WriteString(writer, strings.TrimSpace(err.Error())+"\n")
+	if request == nil {
+		request = &carrier.Request{}
+	}
+	router.Metrics.observe(request, err.Kind, router.Clock.Now().Sub(started))
+}
--- /dev/null
+++ b/internal/standin/launcher/fleet.go
@@ -0,0 +1,187 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+var clock = clocker.System{}
+
+// Fleet is a set of processes on loopback: one platform, entry VMs and
+// upstreams.
+type Fleet struct {
+	Programs  string // directory of the built programs
+	Directory string // for logs
+	SharedKey string
+	Platform  string // base URL, set by StartPlatform
+
+	mutex     sync.Mutex
+	processes map[string]*Process
+	waits     errgroup.Group
+}
+
+// VM describes an entry VM process.
+type VM struct {
+	Name, Zone             string
+	Caller, Link, Operator string // host:port
+	Arguments              []string
+}
+
+// Upstream describes an upstream process.
+type Upstream struct {
+	Name, Address string
+	Arguments     []string
+}
+
+// NewFleet returns a fleet whose logs are in a new temporary directory.
+func NewFleet(programs string) (*Fleet, error) {
+	directory, err := os.MkdirTemp("", "cuminstream-fleet-")
+	if err != nil {
+		return nil, fmt.Errorf("directory for logs: %w", err)
+	}
+	return &Fleet{Programs: programs, Directory: directory, SharedKey: "loopback-only-shared-key", processes: map[string]*Process{}}, nil
+}
+
+// Address returns a loopback address whose port is free at the moment.
+func Address() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("free port: %w", err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func (fleet *Fleet) start(name, program string, arguments ...string) (*Process, error) {
+	process, err := start(fleet.Directory, name, filepath.Join(fleet.Programs, program), arguments...)
+	if err != nil {
+		return nil, err
+	}
+	fleet.mutex.Lock()
+	fleet.processes[name] = process
+	fleet.mutex.Unlock()
+	fleet.waits.Go(process.wait)
+	return process, nil
+}
+
+// StartPlatform starts the platform's stand-in and waits until it answers.
+func (fleet *Fleet) StartPlatform(ctx context.Context, arguments ...string) error {
+	address, err := Address()
+	if err != nil {
+		return err
+	}
+	fleet.Platform = "http://" + address
+	if _, err := fleet.start("platform", "standin-platform", append([]string{"--listen", address}, arguments...)...); err != nil {
+		return err
+	}
+	return WaitFor(ctx, fleet.Platform+"/vms", http.StatusOK)
+}
+
+// StartUpstream starts an upstream's stand-in and waits until it accepts
+// connections.
+func (fleet *Fleet) StartUpstream(ctx context.Context, upstream Upstream) error {
+	arguments := append([]string{"--name", upstream.Name, "--listen", upstream.Address}, upstream.Arguments...)
+	if _, err := fleet.start(upstream.Name, "standin-upstream", arguments...); err != nil {
+		return err
+	}
+	return WaitFor(ctx, "http://"+upstream.Address+"/control/record", http.StatusOK)
+}
+
+// StartVM starts an entry VM and registers it in the platform's list of VMs.
+// It does not wait until the VM is ready.
+func (fleet *Fleet) StartVM(ctx context.Context, vm VM) error {
+	if err := fleet.register(ctx, vm); err != nil {
+		return err
+	}
+	arguments := append([]string{
+		"--name", vm.Name, "--zone", vm.Zone, "--caller-listen", vm.Caller, "--link-listen", vm.Link,
+		"--operator-listen", vm.Operator, "--platform", fleet.Platform, "--shared-key", fleet.SharedKey,
+		"--stop-notice", "200ms",
+	}, vm.Arguments...)
+	_, err := fleet.start(vm.Name, "cuminstreamd", arguments...)
+	return err
+}
+
+// NewVM returns a VM with free loopback addresses.
+func NewVM(name, zone string, arguments ...string) (VM, error) {
+	vm := VM{Name: name, Zone: zone, Arguments: arguments}
+	for _, field := range []*string{&vm.Caller, &vm.Link, &vm.Operator} {
+		address, err := Address()
+		if err != nil {
+			return VM{}, err
+		}
+		*field = address
+	}
+	return vm, nil
+}
+
+func (fleet *Fleet) register(ctx context.Context, vm VM) error {
+	body := fmt.Sprintf(`{"name":%q,"zone":%q,"address":%q,"operator":%q}`, vm.Name, vm.Zone, vm.Link, vm.Operator)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, fleet.Platform+"/control/vms", strings.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("register VM %s: %w", vm.Name, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("register VM %s: %w", vm.Name, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("register VM %s: status %s", vm.Name, response.Status)
+	}
+	return nil
+}
+
+// Process returns the process with the name, or nil.
+func (fleet *Fleet) Process(name string) *Process {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.processes[name]
+}
+
+// Close kills all processes that are left and removes the logs.
+func (fleet *Fleet) Close() {
+	fleet.mutex.Lock()
+	for _, process := range fleet.processes {
+		if !process.Ended() {
+			_ = process.Signal(os.Kill)
+		}
+	}
+	fleet.mutex.Unlock()
+	_ = fleet.waits.Wait()
+	_ = os.RemoveAll(fleet.Directory)
+}
+
+// pollInterval is the wait between two checks of WaitFor.
+const pollInterval = 10 * time.Millisecond
+
+// WaitFor polls the URL until it answers with the status or ctx is done.
+func WaitFor(ctx context.Context, url string, status int) error {
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return fmt.Errorf("wait for %s: %w", url, err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == status {
+				return nil
+			}
+		}
+		if err := clocker.Sleep(ctx, clock, pollInterval); err != nil {
+			return fmt.Errorf("wait for %s: %w", url, err)
+		}
+	}
+}
--- a/pkg/answerer/answerer.go
+++ b/pkg/answerer/answerer.go
@@ -90,10 +90,10 @@
 	Cause      error
 }
 
-// New returns an error of the kind. A %w verb in format sets the cause.
+// New returns an error of the kind. %w verbs in format keep causes for errors.Is.
 func New(kind Kind, format string, args ...any) *Error {
 	wrapped := fmt.Errorf(format, args...)
-	return &Error{Kind: kind, Message: wrapped.Error(), Cause: errors.Unwrap(wrapped)}
+	return &Error{Kind: kind, Message: wrapped.Error(), Cause: wrapped}
 }
 
 // WithRetryAfter returns a copy of the error that tells the caller when to
