Add decoding, validation, matching and acceptance of the document

Cause: operators edit sections at the same time, with typing errors and on a platform that loses answers; no edit may be lost, applied twice or reported wrongly, and a request must find its service without allocation.

The index also keeps its 32 newest write IDs. Comparing only the newest one would report an accepted edit as lost when another edit followed before the read-back. While the index still has the version that a write of unknown outcome was based on, the same write is sent again: at most one of the two sends can take effect.

Ruled out: encoding/json's own strictness, which reports unknown fields without their place and accepts repeated fields and names in other case; and nested path prefixes of two sections, because one team's edit could then take requests away from another team.

Conclusion: the parts that read the document can use Store and Match.

--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -13,6 +13,8 @@
 type Document struct {
 	Revision uint64             `json:"revision"`
 	Sections map[string]Section `json:"sections"`
+
+	matcher *matcher // built by NewDocument
 }
 
 // Section is the part of the document that one team owns.
--- /dev/null
+++ b/internal/configurer/editor.go
@@ -0,0 +1,294 @@
+package configurer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cuminstream/cuminstream/internal/platformer"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+const (
+	// editTimeout bounds an edit whose caller has set no earlier deadline.
+	editTimeout = 20 * time.Second
+
+	firstPause = 20 * time.Millisecond
+	maxPause   = time.Second
+
+	// cachedBytes bounds the bodies that an editor keeps, so that the process
+	// stays within its 256 MB.
+	cachedBytes = 32 << 20
+)
+
+var (
+	// ErrNotAccepted means that the edit has not taken effect and will not.
+	ErrNotAccepted = errors.New("edit was not accepted")
+
+	// ErrOutcomeUnknown means that the edit may have taken effect. Applying it
+	// again with the same body and base revision is safe.
+	ErrOutcomeUnknown = errors.New("edit may have been accepted")
+)
+
+// ConflictError tells that the section has changed since the revision that the
+// edit was based on.
+type ConflictError struct {
+	Section  string
+	Base     uint64 // revision that the edit was based on
+	Revision uint64 // revision in which the section last changed
+	Current  []byte // body in force; nil if the section was removed
+	Edited   []byte // body of the refused edit; nil if it removes the section
+}
+
+// Error returns the revisions. The bodies are for the caller to show.
+func (err *ConflictError) Error() string {
+	return fmt.Sprintf("section %q was changed by revision %d, after the base revision %d of this edit", err.Section, err.Revision, err.Base)
+}
+
+// Result tells what an accepted edit did.
+type Result struct {
+	// Revision is the revision that contains the edit.
+	Revision uint64 `json:"revision"`
+	// Changed is false if the section had this body already.
+	Changed bool `json:"changed"`
+}
+
+// Editor accepts edits of sections. It is safe for use by several goroutines,
+// and many editors may work at the same time.
+type Editor struct {
+	API   platformer.API
+	Clock clocker.Clock
+	// Known returns the newest revision in force. It may be nil. A platform
+	// whose index is older than that has lost writes, and no edit is accepted.
+	Known func() uint64
+	// WriteID returns a new unique ID. It may be nil.
+	WriteID func() string
+
+	bodies bodyCache
+}
+
+// Apply replaces the section with the body, or adds it. baseRevision is the
+// revision of the document that the edit was based on; 0 for a new section. The
+// error is Faults when the body or the resulting document is invalid, or a
+// *ConflictError when the section has changed since baseRevision; it wraps
+// ErrNotAccepted or ErrOutcomeUnknown when the platform failed.
+func (editor *Editor) Apply(ctx context.Context, section string, body []byte, baseRevision uint64) (Result, error) {
+	content, err := DecodeSection(section, body)
+	if err != nil {
+		return Result{}, err
+	}
+	return editor.edit(ctx, edit{section: section, body: body, content: &content, base: baseRevision})
+}
+
+// Remove removes the section. Its errors are those of Apply.
+func (editor *Editor) Remove(ctx context.Context, section string, baseRevision uint64) (Result, error) {
+	return editor.edit(ctx, edit{section: section, base: baseRevision})
+}
+
+// edit is one change of a section.
+type edit struct {
+	section string
+	body    []byte // nil removes the section
+	content *Section
+	base    uint64
+	writeID string
+}
+
+func (edit edit) bodyHash() string {
+	if edit.content == nil {
+		return ""
+	}
+	return BodyName(edit.body)[len(BodyPrefix):]
+}
+
+// state is the index as it was read, and its version at the platform.
+type state struct {
+	index   Index
+	version string
+}
+
+// attempt is a write of the index whose outcome may be unknown.
+type attempt struct {
+	state     // what the write was based on
+	value     []byte
+	revision  uint64
+	uncertain bool // a send of it ended without a definite answer
+}
+
+func (editor *Editor) edit(ctx context.Context, edit edit) (Result, error) {
+	ctx, cancel := clocker.WithTimeout(ctx, editor.Clock, editTimeout)
+	defer cancel()
+	edit.writeID = uuid.NewString()
+	if editor.WriteID != nil {
+		edit.writeID = editor.WriteID()
+	}
+	var open *attempt // the last write, while its outcome is unknown
+	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+		result, done, err := editor.step(ctx, edit, &open)
+		if done {
+			return result, err
+		}
+		if sleepErr := clocker.Sleep(ctx, editor.Clock, pause/2+rand.N(pause)); sleepErr != nil {
+			outcome := ErrNotAccepted
+			if open != nil && open.uncertain {
+				outcome = ErrOutcomeUnknown
+			}
+			return Result{}, fmt.Errorf("section %q: %w: %w", edit.section, outcome, err)
+		}
+	}
+}
+
+// step reads the index, settles the open attempt and writes the edit once. It
+// returns done when the outcome is known, and otherwise the reason to repeat.
+func (editor *Editor) step(ctx context.Context, edit edit, open **attempt) (result Result, done bool, err error) {
+	current, err := editor.read(ctx)
+	if err != nil {
+		return Result{}, false, err
+	}
+	if last := *open; last != nil && current.version != last.version {
+		// The index has moved on, so the attempt cannot take effect any more.
+		switch current.index.judge(last.revision, edit.writeID) {
+		case wasWritten:
+			return Result{Revision: last.revision, Changed: true}, true, nil
+		case forgotten:
+			return Result{}, true, fmt.Errorf("section %q: %d revisions followed before the answer was read back: %w",
+				edit.section, current.index.Revision-last.revision, ErrOutcomeUnknown)
+		}
+		*open = nil
+	}
+	if *open == nil {
+		prepared, result, done, err := editor.prepare(ctx, edit, current)
+		if done || err != nil {
+			return result, done, err
+		}
+		*open = prepared
+	}
+	// While the index has the version that the open attempt was based on, the
+	// same write is sent again: at most one of the two can take effect.
+	_, err = editor.API.Put(ctx, IndexName, (*open).value, (*open).version)
+	switch {
+	case err == nil:
+		return Result{Revision: (*open).revision, Changed: true}, true, nil
+	case errors.Is(err, platformer.ErrTooLarge):
+		return Result{}, true, fmt.Errorf("section %q: index: %w: %w", edit.section, ErrNotAccepted, err)
+	default:
+		// After a conflict the index is read again too: an earlier send of the
+		// same write may be what changed it.
+		definite := errors.Is(err, platformer.ErrConflict) || errors.Is(err, platformer.ErrRateLimited)
+		(*open).uncertain = (*open).uncertain || !definite
+		return Result{}, false, err
+	}
+}
+
+// prepare checks the edit against the index and writes its body. It returns
+// done when nothing is left to write.
+func (editor *Editor) prepare(ctx context.Context, edit edit, current state) (prepared *attempt, result Result, done bool, err error) {
+	entry := current.index.Sections[edit.section]
+	if known := editor.known(); current.index.Revision < max(known, edit.base) {
+		err := fmt.Errorf("section %q: the platform's revision %d is below %d, which was in force: %w",
+			edit.section, current.index.Revision, max(known, edit.base), ErrNotAccepted)
+		return nil, Result{}, true, err
+	}
+	if entry.Body == edit.bodyHash() {
+		return nil, Result{Revision: entry.Revision}, true, nil
+	}
+	if entry.Revision > edit.base {
+		return editor.conflict(ctx, edit, entry)
+	}
+	if err := editor.validate(ctx, edit, current.index); err != nil {
+		var faults Faults
+		return nil, Result{}, errors.As(err, &faults), err
+	}
+	if edit.content != nil {
+		if err := editor.writeBody(ctx, edit.body); err != nil {
+			return nil, Result{}, errors.Is(err, platformer.ErrTooLarge), err
+		}
+	}
+	next := current.index.withWrite(edit.section, edit.bodyHash(), edit.writeID)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return nil, Result{}, true, fmt.Errorf("encode index: %w", err)
+	}
+	return &attempt{state: current, value: value, revision: next.Revision}, Result{}, false, nil
+}
+
+func (editor *Editor) known() uint64 {
+	if editor.Known == nil {
+		return 0
+	}
+	return editor.Known()
+}
+
+func (editor *Editor) conflict(ctx context.Context, edit edit, entry IndexEntry) (*attempt, Result, bool, error) {
+	conflict := &ConflictError{Section: edit.section, Base: edit.base, Revision: entry.Revision, Edited: edit.body}
+	if entry.Body != "" {
+		body, err := editor.bodies.get(ctx, editor.API, BodyPrefix+entry.Body)
+		if err != nil {
+			return nil, Result{}, false, err
+		}
+		conflict.Current = body
+	}
+	return nil, Result{}, true, conflict
+}
+
+// validate checks the whole document with the edited section.
+func (editor *Editor) validate(ctx context.Context, edit edit, index Index) error {
+	bodies := map[string][]byte{}
+	for _, name := range index.BodyNames() {
+		body, err := editor.bodies.get(ctx, editor.API, name)
+		if err != nil {
+			return err
+		}
+		bodies[name] = body
+	}
+	lookUp := func(name string) ([]byte, bool) {
+		body, ok := bodies[name]
+		return body, ok
+	}
+	before, err := Assemble(index, lookUp)
+	if err != nil {
+		return err
+	}
+	var after *Document
+	if edit.content == nil {
+		after, err = before.WithoutSection(edit.section)
+	} else {
+		after, err = before.WithSection(edit.section, *edit.content)
+	}
+	if err != nil {
+		return err
+	}
+	return after.validateChange(before, edit.section)
+}
+
+// writeBody stores the body under its hash. A conflict means that it is there
+// already.
+func (editor *Editor) writeBody(ctx context.Context, body []byte) error {
+	name := BodyName(body)
+	_, err := editor.API.Put(ctx, name, body, "")
+	if err != nil && !errors.Is(err, platformer.ErrConflict) {
+		return err
+	}
+	editor.bodies.put(name, body)
+	return nil
+}
+
+func (editor *Editor) read(ctx context.Context) (state, error) {
+	object, err := editor.API.Get(ctx, IndexName)
+	if errors.Is(err, platformer.ErrNotFound) {
+		return state{}, nil
+	}
+	if err != nil {
+		return state{}, err
+	}
+	index, err := DecodeIndex(object.Value)
+	if err != nil {
+		return state{}, err
+	}
+	return state{index, object.Version}, nil
+}
--- /dev/null
+++ b/internal/configurer/editor_test.go
@@ -0,0 +1,274 @@
+package configurer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/platformer"
+	standin "github.com/cuminstream/cuminstream/internal/standin/platformer"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+// hastyClock shortens pauses to a thousandth. Deadlines stay as they are.
+type hastyClock struct{ clocker.System }
+
+func (clock hastyClock) NewTimer(d time.Duration) clocker.Timer {
+	return clock.System.NewTimer(d / 1000)
+}
+
+func startPlatform(t testing.TB) (*standin.Platform, *platformer.Client, func()) {
+	platform := standin.New(clocker.System{}, standin.Settings{})
+	server := httptest.NewServer(platform)
+	client, err := platformer.NewClient(server.URL, clocker.System{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform, client, func() {
+		platform.SetOutage(standin.Outage{Mode: standin.Refuse})
+		server.Close()
+	}
+}
+
+func readIndex(ctx context.Context, api platformer.API) (configurer.Index, error) {
+	object, err := api.Get(ctx, configurer.IndexName)
+	if errors.Is(err, platformer.ErrNotFound) {
+		return configurer.Index{}, nil
+	}
+	if err != nil {
+		return configurer.Index{}, err
+	}
+	return configurer.DecodeIndex(object.Value)
+}
+
+func sectionBody(section, team string) []byte {
+	return fmt.Appendf(nil, `{"team":%q,"services":[{"name":%q,"pathPrefix":"/%s","rank":"lookup",
+		"upstreams":[{"name":"%s-1","zone":"z1","address":"%s.example:80"}]}]}`, team, section, section, section, section)
+}
+
+// Guards against an edit that overwrites another one, and against a conflict
+// that does not show both versions.
+func TestEditOfAnOldVersion(t *testing.T) {
+	_, client, stop := startPlatform(t)
+	defer stop()
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	first, err := editor.Apply(ctx, "a", sectionBody("a", "one"), 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, first, configurer.Result{Revision: 1, Changed: true})
+	_, err = editor.Apply(ctx, "b", sectionBody("b", "one"), 0)
+	assert.NilError(t, err)
+	// Section a has not changed since revision 1, although the document has.
+	third, err := editor.Apply(ctx, "a", sectionBody("a", "two"), first.Revision)
+	assert.NilError(t, err)
+	assert.Equal(t, third.Revision, uint64(3))
+	_, err = editor.Apply(ctx, "a", sectionBody("a", "late"), first.Revision)
+	var conflict *configurer.ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.DeepEqual(t, conflict, &configurer.ConflictError{
+		Section: "a", Base: 1, Revision: 3, Current: sectionBody("a", "two"), Edited: sectionBody("a", "late"),
+	})
+	removed, err := editor.Remove(ctx, "a", third.Revision)
+	assert.NilError(t, err)
+	_, err = editor.Apply(ctx, "a", sectionBody("a", "late"), third.Revision)
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.Revision, removed.Revision)
+	repeated, err := editor.Apply(ctx, "b", sectionBody("b", "one"), 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, repeated, configurer.Result{Revision: 2})
+}
+
+// Guards against an invalid document that is accepted because each section is
+// valid alone, or because only the change is invalid.
+func TestEditThatMakesTheDocumentInvalid(t *testing.T) {
+	platform, client, stop := startPlatform(t)
+	defer stop()
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	_, err := editor.Apply(ctx, "a", sectionBody("a", "one"), 0)
+	assert.NilError(t, err)
+	for _, body := range []string{
+		string(sectionBody("a", "thief")),
+		`{"team":"a","zones":[{"name":"nowhere","lost":true}]}`,
+		`{"team":"a","unknown":1}`,
+	} {
+		_, err = editor.Apply(ctx, "b", []byte(body), 1)
+		var faults configurer.Faults
+		assert.Assert(t, errors.As(err, &faults), body)
+	}
+	other := `{"team":"one","services":[{"name":"a","pathPrefix":"/a","rank":"lookup","shards":8,
+		"upstreams":[{"name":"a-1","zone":"z1","address":"a.example:80"}]}]}`
+	_, err = editor.Apply(ctx, "a", []byte(other), 1)
+	assert.ErrorContains(t, err, "cannot be changed to 8")
+	assert.Equal(t, platform.Counters().Calls[standin.Put], uint64(2))
+}
+
+// Guards against a false report of an edit during an outage: it must be "not
+// accepted" only when nothing was sent, and repeating the edit must be safe.
+func TestEditDuringAnOutage(t *testing.T) {
+	platform, client, stop := startPlatform(t)
+	defer stop()
+	editor := &configurer.Editor{API: client, Clock: hastyClock{}}
+	short := func() context.Context {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		t.Cleanup(cancel)
+		return ctx
+	}
+	platform.SetOutage(standin.Outage{Mode: standin.Refuse})
+	_, err := editor.Apply(short(), "a", sectionBody("a", "one"), 0)
+	assert.Assert(t, errors.Is(err, configurer.ErrNotAccepted) && !errors.Is(err, configurer.ErrOutcomeUnknown))
+	platform.SetOutage(standin.Outage{})
+	_, err = editor.Apply(t.Context(), "a", sectionBody("a", "one"), 0)
+	assert.NilError(t, err)
+	// Writes are answered after the editor has given up.
+	platform.SetOutage(standin.Outage{Mode: standin.Hang, Kinds: []standin.Kind{standin.Put}})
+	_, err = editor.Apply(short(), "a", sectionBody("a", "one again"), 1)
+	assert.Assert(t, err != nil)
+	platform.SetOutage(standin.Outage{})
+	platform.LoseAnswers(2)
+	result, err := editor.Apply(t.Context(), "a", sectionBody("a", "one again"), 1)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, uint64(2))
+	again, err := editor.Apply(t.Context(), "a", sectionBody("a", "one again"), 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, configurer.Result{Revision: 2})
+}
+
+// Guards against edits on a platform that has lost accepted writes: VMs would
+// ignore revisions that they have passed already.
+func TestPlatformThatLostWrites(t *testing.T) {
+	_, client, stop := startPlatform(t)
+	defer stop()
+	editor := &configurer.Editor{API: client, Clock: hastyClock{}, Known: func() uint64 { return 5 }}
+	_, err := editor.Apply(t.Context(), "a", sectionBody("a", "one"), 0)
+	assert.Assert(t, errors.Is(err, configurer.ErrNotAccepted))
+}
+
+// overtaken lets another editor replace the section between a lost answer and
+// the read-back.
+type overtaken struct {
+	platformer.API
+	once sync.Once
+	act  func()
+}
+
+func (api *overtaken) Put(ctx context.Context, name string, value []byte, version string) (string, error) {
+	written, err := api.API.Put(ctx, name, value, version)
+	if name == configurer.IndexName && err == nil {
+		api.once.Do(func() {
+			api.act()
+			written, err = "", errors.New("connection closed")
+		})
+	}
+	return written, err
+}
+
+// Guards against an accepted edit that is reported as a conflict, because
+// another edit of the section followed before its answer was read back.
+func TestLostAnswerThenOvertaken(t *testing.T) {
+	_, client, stop := startPlatform(t)
+	defer stop()
+	ctx, other := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	api := &overtaken{API: client, act: func() {
+		_, err := other.Apply(ctx, "a", sectionBody("a", "second"), 1)
+		assert.NilError(t, err)
+	}}
+	result, err := (&configurer.Editor{API: api, Clock: hastyClock{}}).Apply(ctx, "a", sectionBody("a", "first"), 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, result, configurer.Result{Revision: 1, Changed: true})
+	index, err := readIndex(ctx, client)
+	assert.NilError(t, err)
+	assert.Equal(t, index.Revision, uint64(2))
+}
+
+type accepted struct {
+	section, team string
+	base          uint64
+}
+
+// race lets editors edit a few sections while answers are lost, and returns the
+// accepted edits by revision.
+func race(t *rapid.T, platform *standin.Platform, client *platformer.Client) map[uint64]accepted {
+	platform.LoseEvery(rapid.SampledFrom([]int{0, 2, 3, 5}).Draw(t, "loseEvery"))
+	editors := rapid.IntRange(2, 5).Draw(t, "editors")
+	sections := rapid.IntRange(1, 3).Draw(t, "sections")
+	var mutex sync.Mutex
+	edits := map[uint64]accepted{}
+	group, ctx := errgroup.WithContext(context.Background())
+	for number := range editors {
+		plan := rapid.SliceOfN(rapid.IntRange(0, sections-1), 1, 5).Draw(t, "plan")
+		group.Go(func() error {
+			editor := &configurer.Editor{API: client, Clock: hastyClock{}}
+			for step, target := range plan {
+				index, err := readIndex(ctx, client)
+				if err != nil {
+					return err
+				}
+				section, team := fmt.Sprintf("s%d", target), fmt.Sprintf("editor %d step %d", number, step)
+				result, err := editor.Apply(ctx, section, sectionBody(section, team), index.Revision)
+				var conflict *configurer.ConflictError
+				if errors.As(err, &conflict) {
+					continue
+				}
+				if err != nil {
+					return err
+				}
+				mutex.Lock()
+				other, taken := edits[result.Revision]
+				edits[result.Revision] = accepted{section, team, index.Revision}
+				mutex.Unlock()
+				if taken {
+					return fmt.Errorf("revision %d is both %v and %v", result.Revision, other, team)
+				}
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	return edits
+}
+
+// Guards against an accepted edit that is lost, applied twice or applied over an
+// edit that its editor has not seen, and against gaps between revisions.
+func TestRacingEditors(t *testing.T) {
+	for _, seed := range []string{"1", "2", "3"} {
+		assert.NilError(t, flag.Set("rapid.seed", seed))
+		assert.NilError(t, flag.Set("rapid.checks", "15"))
+		rapid.Check(t, func(rt *rapid.T) {
+			platform, client, stop := startPlatform(t)
+			defer stop()
+			edits := race(rt, platform, client)
+			index, err := readIndex(t.Context(), client)
+			assert.NilError(rt, err)
+			assert.Equal(rt, index.Revision, uint64(len(edits)), "revisions rise by one for each accepted edit")
+			newest := map[string]uint64{}
+			writers := map[string]bool{}
+			for position, write := range index.Recent {
+				revision := uint64(position + 1)
+				edit := edits[revision]
+				assert.Equal(rt, write.Revision, revision)
+				assert.Assert(rt, !writers[write.WriteID], "one write ID made two revisions")
+				assert.Assert(rt, newest[edit.section] <= edit.base, "revision %d overwrote one that its editor had not seen", revision)
+				writers[write.WriteID], newest[edit.section] = true, revision
+			}
+			for section, revision := range newest {
+				object, err := client.Get(t.Context(), configurer.BodyPrefix+index.Sections[section].Body)
+				assert.NilError(rt, err)
+				var content configurer.Section
+				assert.NilError(rt, json.Unmarshal(object.Value, &content))
+				assert.Equal(rt, content.Team, edits[revision].team)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/configurer/follower.go
@@ -0,0 +1,88 @@
+package configurer
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cuminstream/cuminstream/internal/platformer"
+	"github.com/cuminstream/cuminstream/internal/timeliner"
+)
+
+var (
+	// RevisionInForce is the revision that this process applies.
+	RevisionInForce = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "cuminstream_config_revision",
+		Help: "Revision of the routing document in force at this process.",
+	})
+
+	// Unusable counts revisions that could not be applied.
+	Unusable = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cuminstream_config_unusable_total",
+		Help: "Accepted revisions of the routing document that this process could not apply; the former one stays in force.",
+	})
+)
+
+// Objects is where a Follower finds the index and the bodies.
+type Objects interface {
+	Get(name string) (platformer.Object, bool)
+	Subscribe(prefix string, function func(name string)) (cancel func())
+}
+
+// Follower keeps a Store at the newest document of the objects.
+type Follower struct {
+	Objects  Objects
+	Store    *Store
+	Recorder *timeliner.Recorder // may be nil
+}
+
+// Run follows the objects until ctx is done. The document that is known at the
+// start is in force as soon as Run has begun.
+func (follower *Follower) Run(ctx context.Context) error {
+	changed := make(chan struct{}, 1)
+	cancel := follower.Objects.Subscribe(IndexName, func(string) {
+		select {
+		case changed <- struct{}{}:
+		default: // a refresh is due already
+		}
+	})
+	defer cancel()
+	for {
+		follower.Refresh()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// Refresh applies the newest document if it is newer than the one in force. A
+// document that cannot be applied leaves the former one in force.
+func (follower *Follower) Refresh() {
+	object, ok := follower.Objects.Get(IndexName)
+	if !ok {
+		return
+	}
+	index, err := DecodeIndex(object.Value)
+	if err == nil && index.Revision <= follower.Store.Revision() {
+		return
+	}
+	var document *Document
+	if err == nil {
+		document, err = Assemble(index, func(name string) ([]byte, bool) {
+			body, ok := follower.Objects.Get(name)
+			return body.Value, ok
+		})
+	}
+	if err != nil {
+		Unusable.Inc()
+		follower.Recorder.Record(timeliner.Event{Kind: "configUnusable", Detail: err.Error()})
+		return
+	}
+	if follower.Store.Offer(document) {
+		RevisionInForce.Set(float64(document.Revision))
+		follower.Recorder.Record(timeliner.Event{Kind: "configApplied", Detail: "revision " + strconv.FormatUint(document.Revision, 10)})
+	}
+}
--- /dev/null
+++ b/internal/configurer/index.go
@@ -0,0 +1,135 @@
+package configurer
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+const (
+	// IndexName is the object that orders all changes of the document.
+	IndexName = "config/index"
+
+	// BodyPrefix begins the names of the immutable section bodies.
+	BodyPrefix = "config/bodies/"
+
+	// recentWrites is the number of writes that the index remembers, so that
+	// an editor whose answer was lost can tell whether its write took effect.
+	recentWrites = 32
+)
+
+// Index is the value of the object config/index.
+type Index struct {
+	Revision uint64                `json:"revision"`
+	WriteID  string                `json:"writeId"`
+	Sections map[string]IndexEntry `json:"sections"`
+	// Recent holds the newest writes, oldest first.
+	Recent []Write `json:"recent,omitempty"`
+}
+
+// IndexEntry is the state of one section. An empty body means that the section
+// was removed; its revision still detects an edit of an older version.
+type IndexEntry struct {
+	Body     string `json:"body"` // SHA-256 of the section's body, in hexadecimal
+	Revision uint64 `json:"revision"`
+}
+
+// Write names the writer of a revision.
+type Write struct {
+	Revision uint64 `json:"revision"`
+	WriteID  string `json:"writeId"`
+}
+
+// DecodeIndex decodes the value of the object config/index. Unknown fields are
+// ignored, so that VMs of two versions can read one index.
+func DecodeIndex(value []byte) (Index, error) {
+	var index Index
+	if err := json.Unmarshal(value, &index); err != nil {
+		return Index{}, fmt.Errorf("%s: %w", IndexName, err)
+	}
+	return index, nil
+}
+
+// BodyNames returns the names of the body objects that the index refers to, in
+// order.
+func (index Index) BodyNames() []string {
+	names := map[string]struct{}{}
+	for _, entry := range index.Sections {
+		if entry.Body != "" {
+			names[BodyPrefix+entry.Body] = struct{}{}
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// BodyName returns the name of the object that holds the body.
+func BodyName(body []byte) string {
+	sum := sha256.Sum256(body)
+	return BodyPrefix + hex.EncodeToString(sum[:])
+}
+
+// withWrite returns the next index, in which the section has the entry.
+func (index Index) withWrite(section, body, writeID string) Index {
+	next := Index{Revision: index.Revision + 1, WriteID: writeID, Sections: maps.Clone(index.Sections)}
+	if next.Sections == nil {
+		next.Sections = map[string]IndexEntry{}
+	}
+	next.Sections[section] = IndexEntry{Body: body, Revision: next.Revision}
+	next.Recent = append(slices.Clone(index.Recent), Write{next.Revision, writeID})
+	next.Recent = next.Recent[max(0, len(next.Recent)-recentWrites):]
+	return next
+}
+
+// verdict is what an index says about a write.
+type verdict int
+
+const (
+	notWritten verdict = iota
+	wasWritten
+	forgotten // the write is older than the index remembers
+)
+
+// judge tells whether the write that was to make the revision took effect.
+func (index Index) judge(revision uint64, writeID string) verdict {
+	for _, write := range index.Recent {
+		if write.Revision == revision {
+			if write.WriteID == writeID {
+				return wasWritten
+			}
+			return notWritten
+		}
+	}
+	if index.Revision < revision {
+		return notWritten
+	}
+	return forgotten
+}
+
+// Assemble returns the document of the index. body returns the value of a body
+// object, or false if it is not known.
+func Assemble(index Index, body func(name string) ([]byte, bool)) (*Document, error) {
+	sections := make(map[string]Section, len(index.Sections))
+	var faults Faults
+	for name, entry := range index.Sections {
+		if entry.Body == "" {
+			continue
+		}
+		value, ok := body(BodyPrefix + entry.Body)
+		if !ok {
+			return nil, fmt.Errorf("body %s of section %q is not known", entry.Body, name)
+		}
+		section, err := DecodeSection(name, value)
+		if err != nil {
+			faults = append(faults, err.(Faults)...)
+			continue
+		}
+		sections[name] = section
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return NewDocument(index.Revision, sections)
+}
