--- /dev/null
+++ b/pkg/leaser/voter.go
@@ -0,0 +1,91 @@
+package leaser
+
+import (
+	"time"
+
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+// Voter keeps the promise that one candidate has given for one group. It does
+// no I/O and is not safe for use by several goroutines. Its memory is lost with
+// the process, which is why a new Voter gives no promise until every promise of
+// its predecessor has expired.
+type Voter struct {
+	clock    clocker.Clock
+	timing   Timing
+	ready    time.Time
+	term     uint64    // highest term promised or observed
+	owner    string    // holder of that term, empty when it was only observed
+	released bool      // the term was given back and is not promised again
+	promised string    // holder of the promise that lasts until the time below
+	until    time.Time // by this voter's clock
+}
+
+// Answer is a voter's reply to a request for a promise.
+type Answer struct {
+	Granted bool
+	// Higher is set when the term is refused because the voter knows this
+	// term, which is higher or belongs to another holder.
+	Higher uint64
+	// Wait is set when the refusal ends by itself after this time.
+	Wait time.Duration
+}
+
+// NewVoter returns a voter that gives promises once Lease+Margin have passed.
+func NewVoter(clock clocker.Clock, timing Timing) *Voter {
+	return &Voter{clock: clock, timing: timing, ready: clock.Now().Add(timing.Lease + timing.Margin)}
+}
+
+// Promise gives or renews the promise of the term to the holder, for Lease from
+// now. It refuses a lower term, another holder of the same term, a term that
+// was given back, and a higher term while an unexpired promise to another
+// holder stands.
+func (voter *Voter) Promise(term uint64, holder string) Answer {
+	now := voter.clock.Now()
+	if wait := voter.ready.Sub(now); wait > 0 {
+		return Answer{Wait: wait}
+	}
+	if term < voter.term || term == voter.term && (voter.released || voter.owner != "" && voter.owner != holder) {
+		return Answer{Higher: voter.term}
+	}
+	if wait := voter.until.Sub(now); wait > 0 && voter.promised != holder {
+		return Answer{Wait: wait}
+	}
+	if term > voter.term {
+		voter.term, voter.released = term, false
+	}
+	voter.owner, voter.promised, voter.until = holder, holder, now.Add(voter.timing.Lease)
+	return Answer{Granted: true}
+}
+
+// Release ends the promise of the term. The term is not promised again, so that
+// a request that arrives late does not block the successor. It reports false
+// when the term is not the holder's, or when a promise to another holder
+// stands.
+func (voter *Voter) Release(term uint64, holder string) bool {
+	stands := voter.until.After(voter.clock.Now())
+	switch {
+	case term < voter.term, stands && voter.promised != holder:
+		return false
+	case term == voter.term && voter.owner != "" && voter.owner != holder:
+		return false
+	}
+	voter.term, voter.owner, voter.released, voter.until = term, holder, true, time.Time{}
+	return true
+}
+
+// Observe raises the lowest term that the voter accepts, without a promise. A
+// promise that stands lasts for its time. It reports false when the voter knows
+// a higher term.
+func (voter *Voter) Observe(term uint64) bool {
+	if term > voter.term {
+		voter.term, voter.owner, voter.released = term, "", false
+	}
+	return term == voter.term
+}
+
+// Term returns the highest term that the voter has promised or observed.
+func (voter *Voter) Term() uint64 { return voter.term }
+
+// Ready returns the time from which the voter gives promises.
+func (voter *Voter) Ready() time.Time { return voter.ready }
