Add the replicated group: election, take-over, copies and release

Cause: a group needs one holder at a time, and the next holder must know everything that the last one acknowledged.

Change: replicator.Group asks for terms, renews promises of all candidates in parallel, reads the state of enough synchronized candidates to include one of every majority, copies the merged state to a majority, begins the member, and releases to a named successor. Each call carries the record of the group; a sender with an older record is refused, so that a list of candidates that has been replaced cannot elect anyone. Restore messages name the receiver's incarnation, so that a late one does not mark a restarted candidate as synchronized.

Ruled out: asking the own voter first (a candidate that is cut off raises its term and ends the healthy lease when it returns); counting acknowledgements of candidates that have not been synchronized since their start.

--- /dev/null
+++ b/internal/replicator/answer.go
@@ -0,0 +1,186 @@
+package replicator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+)
+
+// Answer handles a control call of another VM for this group.
+func (group *Group) Answer(_ context.Context, from, method string, body any) (any, error) {
+	group.prepare()
+	switch call := body.(type) {
+	case *promiseCall:
+		return group.answer(call.header, func(reply *reply) { group.answerPromise(from, call, reply) })
+	case *copyCall:
+		return group.answer(call.header, func(reply *reply) { group.answerCopy(from, call, reply) })
+	case *restoreCall:
+		return group.answer(call.header, func(reply *reply) { group.answerRestore(from, call, reply) })
+	case *releaseCall:
+		return group.answer(call.header, func(reply *reply) { group.answerRelease(from, call, reply) })
+	case *snapshotCall:
+		return group.answerSnapshot(from, call)
+	case *holderCall:
+		return group.answerHolder(call), nil
+	}
+	return nil, fmt.Errorf("group %s does not answer the method %q", group.ID, method)
+}
+
+// answer adopts a newer record and refuses a sender that has an older one.
+func (group *Group) answer(header header, handle func(*reply)) (reply, error) {
+	group.mutex.Lock()
+	adopted := group.adoptLocked(header.Record)
+	reply := reply{Incarnation: group.incarnation}
+	if header.Record.Revision < group.record.Revision {
+		record := group.record
+		reply.Record = &record
+	} else {
+		handle(&reply)
+	}
+	reply.Synchronized = group.synchronized
+	group.mutex.Unlock()
+	group.announce(adopted)
+	return reply, nil
+}
+
+func (group *Group) answerPromise(from string, call *promiseCall, reply *reply) {
+	if !slices.Contains(group.record.Candidates, from) {
+		return
+	}
+	answer := group.voter.Promise(call.Term, from)
+	reply.OK, reply.Higher, reply.Wait = answer.Granted, answer.Higher, answer.Wait
+	if answer.Granted {
+		group.yieldTo(call.Term)
+		group.store.prune(group.Clock.Now())
+	}
+	// A voter that gives no promise yet still learns who serves the group.
+	if answer.Granted || call.Holding && call.Term >= group.voter.Term() {
+		group.hearLocked(from, call.Term, call.Holding)
+	}
+}
+
+// hearLocked notes a sign of life of a holder.
+func (group *Group) hearLocked(from string, term uint64, holding bool) {
+	now := group.Clock.Now()
+	group.quietSince = now
+	group.urgent = false
+	if holding && term >= group.holderTerm {
+		group.holderVM, group.holderTerm, group.heardAt = from, term, now
+	}
+	group.wake()
+}
+
+// yieldTo ends the own lease when another candidate has a higher term.
+func (group *Group) yieldTo(term uint64) {
+	if tenure := group.tenure; tenure != nil && term > tenure.Term() {
+		tenure.loseLocked("another candidate has a higher term")
+	}
+}
+
+func (group *Group) answerCopy(from string, call *copyCall, reply *reply) {
+	if !slices.Contains(group.record.Candidates, from) {
+		return
+	}
+	if !group.voter.Observe(call.Term) {
+		reply.Higher = group.voter.Term()
+		return
+	}
+	group.yieldTo(call.Term)
+	group.store.apply(group.Clock.Now(), call.Entries)
+	reply.OK = true
+}
+
+func (group *Group) answerSnapshot(from string, call *snapshotCall) (snapshotReply, error) {
+	var page page
+	reply, err := group.answer(call.header, func(reply *reply) {
+		if !slices.Contains(group.record.Candidates, from) {
+			return
+		}
+		if !group.voter.Observe(call.Term) {
+			reply.Higher = group.voter.Term()
+			return
+		}
+		group.yieldTo(call.Term)
+		page = group.store.page(group.Clock.Now(), call.Cursor)
+		reply.OK = true
+	})
+	return snapshotReply{reply: reply, Page: page}, err
+}
+
+// answerRestore stores one page of the holder's state. The pages of an attempt
+// arrive in order; the last one makes this candidate synchronized.
+func (group *Group) answerRestore(from string, call *restoreCall, reply *reply) {
+	if call.Incarnation != group.incarnation {
+		return
+	}
+	if !call.Founding && !slices.Contains(group.record.Candidates, from) {
+		return
+	}
+	if !group.voter.Observe(call.Term) {
+		reply.Higher = group.voter.Term()
+		return
+	}
+	group.yieldTo(call.Term)
+	if call.Number == 0 {
+		group.restore = restoreProgress{term: call.Term, attempt: call.Attempt}
+	}
+	progress := &group.restore
+	if progress.term != call.Term || progress.attempt != call.Attempt || call.Number > progress.next {
+		return
+	}
+	reply.OK = true
+	if call.Number < progress.next {
+		return
+	}
+	progress.next++
+	now := group.Clock.Now()
+	group.store.applyPage(now, call.Page)
+	if !call.Last || group.synchronized {
+		return
+	}
+	group.synchronized = true
+	if call.Founding {
+		group.quietSince = now.Add(-group.Timing.Suspicion)
+	}
+	group.wake()
+}
+
+func (group *Group) answerRelease(from string, call *releaseCall, reply *reply) {
+	promised, _, stood := group.voter.Promised()
+	if !group.voter.Release(call.Term, from) {
+		reply.Higher = group.voter.Term()
+		return
+	}
+	now := group.Clock.Now()
+	group.store.setInFlight(now, call.Term, call.InFlight)
+	if group.holderVM == from && group.holderTerm <= call.Term {
+		group.heardAt = now.Add(-group.Timing.Suspicion)
+	}
+	switch call.Successor {
+	case group.VM:
+		group.urgent = true
+	case "":
+		// A candidate that asked in vain is no reason to suspect the holder.
+		if stood && promised == from {
+			group.quietSince = now.Add(-group.Timing.Suspicion)
+		}
+	default:
+		group.quietSince = now
+	}
+	group.wake()
+	reply.OK = true
+}
+
+func (group *Group) answerHolder(call *holderCall) HolderReply {
+	if call.Record != nil {
+		group.Adopt(*call.Record)
+	}
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	vm, term, known := group.holderLocked()
+	record := group.record
+	return HolderReply{
+		Known: known, VM: vm, Term: term, Record: &record,
+		Incarnation: group.incarnation, Synchronized: group.synchronized,
+	}
+}
--- /dev/null
+++ b/internal/replicator/election.go
@@ -0,0 +1,252 @@
+package replicator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/leaser"
+)
+
+// wholeStateDelay gives the candidates that were read the time to complete the
+// majority, before the whole state is sent to others.
+const wholeStateDelay = 2 * retryDelay
+
+// campaign asks for the next term of this VM and, when it gets it, serves the
+// group until the lease ends.
+func (group *Group) campaign(ctx context.Context) {
+	tenure := group.start(ctx)
+	if tenure == nil {
+		return
+	}
+	defer tenure.close()
+	retry, elected := tenure.elect()
+	if elected {
+		retry = group.Timing.Suspicion
+		if err := tenure.serve(); errors.Is(err, ErrLeaseLost) {
+			// The voters may have let go only because another candidate asked in
+			// vain; the own unexpired promises then allow a new term at once.
+			retry = 0
+		}
+	}
+	group.abandon(tenure, retry)
+}
+
+// start returns a tenure of the next term, or nil if this VM may not ask now.
+func (group *Group) start(ctx context.Context) *tenure {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.urgent = false
+	if other, until, ok := group.voter.Promised(); ok && other != group.VM {
+		group.retryAt = until
+		return nil
+	}
+	above := max(group.voter.Term(), group.higher)
+	term, ok := leaser.NextTerm(group.record.Candidates, group.record.BaseTerm, group.VM, above)
+	if !ok || group.retired || !group.synchronized {
+		return nil
+	}
+	group.tenure = newTenure(ctx, group, term)
+	return group.tenure
+}
+
+// elect collects promises. The own voter is asked last and only when it
+// completes the majority: a candidate that is cut off then does not raise its
+// own term in vain, which would end the lease of the healthy holder later. It
+// returns the time until the next attempt.
+func (tenure *tenure) elect() (retry time.Duration, elected bool) {
+	group := tenure.group
+	others := tenure.others()
+	answers := make(chan reply, len(others))
+	for _, vm := range others {
+		tenure.spawn(func() {
+			answer, err := tenure.ask(vm)
+			if err != nil {
+				answer.Wait = group.Timing.Heartbeat
+			}
+			answers <- answer
+		})
+	}
+	timer := group.Clock.NewTimer(group.Timing.Decision)
+	defer timer.Stop()
+	wait := group.Timing.Heartbeat
+	for pending := len(others); pending > 0 && !tenure.holder.Has(group.Clock.Now(), group.VM); {
+		select {
+		case answer := <-answers:
+			pending--
+			wait = min(wait, answer.Wait)
+		case <-timer.C():
+			pending = 0
+		case <-tenure.ctx.Done():
+			pending = 0
+		}
+	}
+	place := group.Newest().place(group.VM, "")
+	retry = wait + time.Duration(1+place)*retryDelay
+	if !tenure.holder.Has(group.Clock.Now(), group.VM) || !tenure.promiseSelf().Granted {
+		return retry, false
+	}
+	_, elected = tenure.Valid()
+	return retry, elected
+}
+
+// abandon ends a tenure that was not released, gives its promises back and sets
+// the time of the next attempt.
+func (group *Group) abandon(tenure *tenure, retry time.Duration) {
+	group.mutex.Lock()
+	given := tenure.phase < releasing || tenure.phase == over
+	tenure.loseLocked("the lease is given back")
+	group.tenure = nil
+	group.retryAt = group.Clock.Now().Add(retry)
+	group.voter.Release(tenure.Term(), group.VM)
+	group.mutex.Unlock()
+	if given {
+		// The promises of a lost or failed tenure are not used any more.
+		group.running.Go(func() error {
+			tenure.tell(context.WithoutCancel(tenure.ctx), releaseCall{header: tenure.header()})
+			return nil
+		})
+	}
+}
+
+// tell sends a release to all other candidates at the same time and waits until
+// each has answered or a heartbeat has passed.
+func (tenure *tenure) tell(ctx context.Context, call releaseCall) {
+	group := tenure.group
+	var sending errgroup.Group
+	for _, vm := range tenure.others() {
+		sending.Go(func() error {
+			var answer reply
+			return group.call(ctx, vm, methodRelease, group.Timing.Heartbeat, call, &answer, &answer)
+		})
+	}
+	_ = sending.Wait() // a candidate that is not told waits for the end of its promise
+}
+
+// takeOver reads the state of enough synchronized candidates to include every
+// entry that a majority has stored, merges it and copies it to a majority.
+func (tenure *tenure) takeOver() (State, error) {
+	group := tenure.group
+	ctx, cancel := clocker.WithTimeout(tenure.ctx, group.Clock, group.Timing.Suspicion+group.Timing.Decision)
+	defer cancel()
+	stores, err := tenure.collect(ctx)
+	if err != nil {
+		return State{}, err
+	}
+	now := group.Clock.Now()
+	group.mutex.Lock()
+	for _, other := range stores {
+		for _, entries := range other.missing(group.store) {
+			group.store.apply(now, entries)
+		}
+		group.store.applyPage(now, other.page(now, 0))
+	}
+	state := group.store.state(now)
+	changes := map[string][]Entries{}
+	for vm, other := range stores {
+		changes[vm] = group.store.missing(other)
+	}
+	group.mutex.Unlock()
+	return state, tenure.distribute(ctx, changes)
+}
+
+// collect returns the states of other candidates, by VM.
+func (tenure *tenure) collect(ctx context.Context) (map[string]*store, error) {
+	count := newQuorum(tenure, readers)
+	var mutex sync.Mutex
+	stores := map[string]*store{}
+	for _, vm := range tenure.others() {
+		tenure.spawn(func() {
+			store := tenure.read(ctx, vm)
+			if store == nil {
+				return
+			}
+			mutex.Lock()
+			stores[vm] = store
+			mutex.Unlock()
+			count.add(vm)
+		})
+	}
+	if err := count.wait(ctx); err != nil {
+		return nil, errors.Join(errNoQuorum, err)
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	collected := stores
+	stores = map[string]*store{}
+	return collected, nil
+}
+
+// read returns the state of vm, or nil if vm is not synchronized or does not
+// answer until ctx is done.
+func (tenure *tenure) read(ctx context.Context, vm string) *store {
+	group := tenure.group
+	result := newStore()
+	for cursor := uint64(0); ; {
+		var answer snapshotReply
+		call := snapshotCall{header: tenure.header(), Cursor: cursor}
+		err := group.call(ctx, vm, methodSnapshot, group.Timing.Heartbeat, call, &answer.reply, &answer)
+		if err == nil {
+			tenure.met(vm, answer.reply, call.Record.Revision)
+		}
+		switch {
+		case err == nil && answer.Higher > tenure.Term():
+			tenure.lose("a candidate knows a higher term")
+			return nil
+		case err == nil && answer.OK && !answer.Synchronized:
+			return nil
+		case err == nil && answer.OK:
+			result.applyPage(group.Clock.Now(), answer.Page)
+			if !answer.Page.More {
+				return result
+			}
+			cursor = answer.Page.Next
+			continue
+		}
+		if clocker.Sleep(ctx, group.Clock, retryDelay) != nil {
+			return nil
+		}
+	}
+}
+
+// distribute brings a majority to the merged state: the candidates that were
+// read get what they lack, the others the whole state.
+func (tenure *tenure) distribute(ctx context.Context, changes map[string][]Entries) error {
+	count := newQuorum(tenure, leaser.Majority)
+	for _, vm := range tenure.others() {
+		missing, wasRead := changes[vm]
+		tenure.spawn(func() {
+			if !wasRead && clocker.Sleep(ctx, tenure.group.Clock, wholeStateDelay) != nil {
+				return
+			}
+			for ctx.Err() == nil && !count.complete() {
+				if wasRead && tenure.copyAll(vm, missing) || !wasRead && tenure.restore(ctx, vm) {
+					count.add(vm)
+					return
+				}
+				if clocker.Sleep(ctx, tenure.group.Clock, retryDelay) != nil {
+					return
+				}
+			}
+		})
+	}
+	if err := count.wait(ctx); err != nil {
+		return errors.Join(errNoQuorum, err)
+	}
+	return nil
+}
+
+// copyAll sends the changes to vm in order.
+func (tenure *tenure) copyAll(vm string, changes []Entries) bool {
+	for _, entries := range changes {
+		answer, err := tenure.copyOnce(vm, entries)
+		if err != nil || !answer.OK || !answer.Synchronized {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/replicator/store.go
@@ -0,0 +1,218 @@
+package replicator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cuminstream/cuminstream/pkg/deduper"
+	"github.com/cuminstream/cuminstream/pkg/suspecter"
+)
+
+const (
+	requestWindow = 10 * time.Minute
+	suspectWindow = time.Hour
+	pruneInterval = time.Second
+	// pageRequests keeps a page below the message limit of 1 MiB, with request
+	// IDs of up to about 400 bytes.
+	pageRequests = 2000
+)
+
+// store is the state of one group on one candidate. It is not safe for use by
+// several goroutines.
+type store struct {
+	assignment   Assignment
+	requests     map[string]deduper.Entry
+	order        []string // IDs in the order of arrival
+	removed      uint64   // IDs that were pruned from the front of order
+	suspects     map[uint64]suspecter.Entry
+	inFlight     []InFlight
+	inFlightTerm uint64
+	inFlightAt   time.Time // when the times left were valid
+	memoryLost   time.Time
+	pruned       time.Time
+}
+
+func newStore() *store {
+	return &store{requests: map[string]deduper.Entry{}, suspects: map[uint64]suspecter.Entry{}}
+}
+
+// apply merges a change into the state.
+func (store *store) apply(now time.Time, entries Entries) {
+	if entries.Assignment != nil && entries.Assignment.Newer(store.assignment) {
+		store.assignment = *entries.Assignment
+	}
+	for _, entry := range entries.Requests {
+		store.addRequest(entry)
+	}
+	for _, entry := range entries.Suspects {
+		known, ok := store.suspects[entry.Fingerprint]
+		if ok {
+			entry = mergeSuspect(known, entry)
+		}
+		store.suspects[entry.Fingerprint] = entry
+	}
+	if len(entries.Ended) > 0 {
+		store.inFlight = slices.DeleteFunc(slices.Clone(store.inFlight), func(inFlight InFlight) bool {
+			return slices.Contains(entries.Ended, inFlight.ID)
+		})
+	}
+	store.prune(now)
+}
+
+func (store *store) addRequest(entry deduper.Entry) {
+	known, ok := store.requests[entry.ID]
+	if !ok {
+		store.order = append(store.order, entry.ID)
+	} else if !replaces(entry, known) {
+		return
+	}
+	store.requests[entry.ID] = entry
+}
+
+// replaces reports whether entry is newer than known: a higher try wins, then a
+// higher status.
+func replaces(entry, known deduper.Entry) bool {
+	if entry.Try != known.Try {
+		return entry.Try > known.Try
+	}
+	return entry.Status > known.Status
+}
+
+// mergeSuspect keeps the highest number of losses that are newer than the last
+// completed run.
+func mergeSuspect(a, b suspecter.Entry) suspecter.Entry {
+	cleared := a.Cleared
+	if b.Cleared.After(cleared) {
+		cleared = b.Cleared
+	}
+	if !b.At.After(cleared) {
+		b.Losses = 0
+	}
+	if !a.At.After(cleared) {
+		a.Losses = 0
+	}
+	merged := a
+	if b.Losses > a.Losses || b.Losses == a.Losses && b.At.After(a.At) {
+		merged = b
+	}
+	merged.Cleared = cleared
+	return merged
+}
+
+// applyPage merges a part of another candidate's state.
+func (store *store) applyPage(now time.Time, page page) {
+	state := page.State
+	store.apply(now, Entries{Assignment: &state.Assignment, Requests: state.Requests, Suspects: state.Suspects})
+	if state.MemoryLost.After(store.memoryLost) {
+		store.memoryLost = state.MemoryLost
+	}
+	switch {
+	case page.InFlightTerm > store.inFlightTerm:
+		store.setInFlight(now, page.InFlightTerm, state.InFlight)
+	case page.InFlightTerm == store.inFlightTerm && page.InFlightTerm > 0:
+		// Both began with the same list, from which ended requests are removed.
+		store.inFlight = slices.DeleteFunc(slices.Clone(store.inFlight), func(own InFlight) bool {
+			return !slices.ContainsFunc(state.InFlight, func(other InFlight) bool { return own.ID == other.ID })
+		})
+	}
+}
+
+// setInFlight replaces the requests that the holder of the term left behind.
+func (store *store) setInFlight(now time.Time, term uint64, inFlight []InFlight) {
+	if term > store.inFlightTerm {
+		store.inFlight, store.inFlightTerm, store.inFlightAt = inFlight, term, now
+	}
+}
+
+// left returns the requests in flight with the time that they have left now.
+func (store *store) left(now time.Time) []InFlight {
+	var left []InFlight
+	for _, inFlight := range store.inFlight {
+		inFlight.Left -= now.Sub(store.inFlightAt)
+		if inFlight.Left > 0 {
+			left = append(left, inFlight)
+		}
+	}
+	return left
+}
+
+// page returns the part of the state at the cursor; 0 is the first one.
+func (store *store) page(now time.Time, cursor uint64) page {
+	if cursor == 0 {
+		return page{
+			State: State{
+				Assignment: store.assignment, Suspects: slices.Collect(maps.Values(store.suspects)),
+				InFlight: store.left(now), MemoryLost: store.memoryLost,
+			},
+			InFlightTerm: store.inFlightTerm, Next: 1 + store.removed, More: len(store.order) > 0,
+		}
+	}
+	start := max(cursor-1, store.removed) - store.removed
+	end := min(start+pageRequests, uint64(len(store.order)))
+	result := page{Next: 1 + store.removed + end, More: end < uint64(len(store.order))}
+	for _, id := range store.order[min(start, end):end] {
+		result.State.Requests = append(result.State.Requests, store.requests[id])
+	}
+	// A page without the list of requests in flight leaves the receiver's as it is.
+	return result
+}
+
+// state returns the whole state.
+func (store *store) state(now time.Time) State {
+	store.prune(now)
+	state := store.page(now, 0).State
+	for _, id := range store.order {
+		state.Requests = append(state.Requests, store.requests[id])
+	}
+	return state
+}
+
+// missing returns the changes that bring other to the state of store.
+func (store *store) missing(other *store) []Entries {
+	var first Entries
+	if store.assignment.Newer(other.assignment) {
+		assignment := store.assignment
+		first.Assignment = &assignment
+	}
+	for fingerprint, entry := range store.suspects {
+		known, ok := other.suspects[fingerprint]
+		if !ok || known.Losses != entry.Losses || !known.Cleared.Equal(entry.Cleared) {
+			first.Suspects = append(first.Suspects, entry)
+		}
+	}
+	changes := []Entries{first}
+	var requests []deduper.Entry
+	for _, id := range store.order {
+		entry := store.requests[id]
+		if known, ok := other.requests[id]; !ok || replaces(entry, known) {
+			requests = append(requests, entry)
+		}
+	}
+	for chunk := range slices.Chunk(requests, pageRequests) {
+		changes = append(changes, Entries{Requests: chunk})
+	}
+	return changes
+}
+
+// prune removes entries that are older than their window, at most once in
+// pruneInterval.
+func (store *store) prune(now time.Time) {
+	if now.Sub(store.pruned) < pruneInterval {
+		return
+	}
+	store.pruned = now
+	count := 0
+	for _, id := range store.order {
+		if now.Sub(store.requests[id].At) <= requestWindow {
+			break
+		}
+		delete(store.requests, id)
+		count++
+	}
+	store.order = store.order[count:]
+	store.removed += uint64(count)
+	maps.DeleteFunc(store.suspects, func(_ uint64, entry suspecter.Entry) bool {
+		return now.Sub(entry.At) > suspectWindow
+	})
+}
--- a/pkg/leaser/voter.go
+++ b/pkg/leaser/voter.go
@@ -87,5 +87,10 @@
 // Term returns the highest term that the voter has promised or observed.
 func (voter *Voter) Term() uint64 { return voter.term }
 
+// Promised returns the holder of the promise that stands, and its end.
+func (voter *Voter) Promised() (holder string, until time.Time, ok bool) {
+	return voter.promised, voter.until, voter.until.After(voter.clock.Now())
+}
+
 // Ready returns the time from which the voter gives promises.
 func (voter *Voter) Ready() time.Time { return voter.ready }
