Add the tracker of VM membership

Cause: suspicion, takeover and placement need one view of which VMs run, from heartbeats, entries of other VMs and the platform's lagging list.

Change: pkg/tracker merges the three sources. Entries are merged by a total order with the incarnation first, so that the result does not depend on their order. Suspicion follows the expected interval of a VM's heartbeats. Gone needs absence from the list and silence.

Ruled out: clearing the description of a VM that leaves the list. Random runs showed that its name was lost with it.

--- /dev/null
+++ b/pkg/tracker/example_test.go
@@ -0,0 +1,66 @@
+package tracker_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/tracker"
+)
+
+func newTracker(clock clocker.Clock) *tracker.Tracker {
+	return tracker.New(tracker.Config{
+		Self: "self", Clock: clock, Heartbeat: 150 * time.Millisecond, Suspicion: 600 * time.Millisecond,
+	})
+}
+
+// A VM that should send heartbeats and falls silent is suspected. The
+// platform's list alone does not change that; only once the list lacks the VM
+// for a while does it count as gone.
+func Example() {
+	clock := clocker.NewFake(time.Unix(0, 0))
+	members := newTracker(clock)
+	members.Listen(func(change tracker.Change) {
+		fmt.Println(change.After.Name, "is", change.After.State)
+	})
+	vm := tracker.VM{Name: "vm1", Zone: "z1", Address: "10.0.0.1:7000", Incarnation: 1}
+	members.Heard(vm)
+	members.Watch(map[string]time.Duration{"vm1": 150 * time.Millisecond})
+	members.Listed([]tracker.VM{vm})
+
+	clock.Advance(600 * time.Millisecond)
+	members.Evaluate()
+
+	members.Listed(nil)
+	clock.Advance(20 * time.Second)
+	members.Listed(nil)
+
+	// Output:
+	// vm1 is alive
+	// vm1 is suspected
+	// vm1 is suspected
+	// vm1 is gone
+}
+
+// A process that restarts under the same name is a new member: what the former
+// process held in memory is lost.
+func ExampleChange_Restarted() {
+	members := newTracker(clocker.NewFake(time.Unix(0, 0)))
+	members.Listen(func(change tracker.Change) { fmt.Println(change.After.Incarnation, change.Restarted()) })
+	members.Heard(tracker.VM{Name: "vm1", Zone: "z1", Address: "10.0.0.1:7000", Incarnation: 1})
+	members.Heard(tracker.VM{Name: "vm1", Zone: "z1", Address: "10.0.0.1:7000", Incarnation: 2})
+	fmt.Println("late heartbeat accepted:", members.Heard(tracker.VM{Name: "vm1", Incarnation: 1}))
+	// Output:
+	// 1 false
+	// 2 true
+	// late heartbeat accepted: false
+}
+
+func ExampleTracker_Peers() {
+	members := newTracker(clocker.NewFake(time.Unix(0, 0)))
+	members.Listed([]tracker.VM{{Name: "vm2", Zone: "z2"}, {Name: "vm1", Zone: "z1"}, {Name: "self", Zone: "z1"}})
+	for _, peer := range members.Peers("z1") {
+		fmt.Println(peer.Name)
+	}
+	// Output: vm1
+}
