--- a/internal/commander/apply.go
+++ b/internal/commander/apply.go
@@ -48,7 +48,12 @@
 	}
 	ctx, cancel := clocker.WithTimeout(ctx, clocker.System{}, apply.flags.Patience)
 	defer cancel()
-	result, err := apply.flags.editor().Apply(ctx, apply.flags.Section, body, apply.flags.Base)
+	api, err := apply.flags.api()
+	if err != nil {
+		return err
+	}
+	editor := &configurer.Editor{API: api, Clock: clocker.System{}}
+	result, err := editor.Apply(ctx, apply.flags.Section, body, apply.flags.Base)
 	if err != nil {
 		var conflict *configurer.ConflictError
 		if errors.As(err, &conflict) {
--- a/internal/commander/drain.go
+++ b/internal/commander/drain.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/platformer"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
@@ -58,8 +59,12 @@
 func (drain *drain) run(ctx context.Context, streams streams) error {
 	ctx, cancel := clocker.WithTimeout(ctx, clocker.System{}, drain.flags.Patience)
 	defer cancel()
+	api, err := drain.flags.api()
+	if err != nil {
+		return err
+	}
 	for attempt := 1; ; attempt++ {
-		result, err := drain.once(ctx)
+		result, err := drain.once(ctx, api)
 		var conflict *configurer.ConflictError
 		if errors.As(err, &conflict) && attempt < maxDrainAttempts {
 			continue
@@ -72,8 +77,8 @@
 	}
 }
 
-func (drain *drain) once(ctx context.Context) (configurer.Result, error) {
-	found, err := section(ctx, drain.flags.api(), drain.flags.Section)
+func (drain *drain) once(ctx context.Context, api platformer.API) (configurer.Result, error) {
+	found, err := readSection(ctx, api, drain.flags.Section)
 	if err != nil {
 		return configurer.Result{}, err
 	}
@@ -81,7 +86,8 @@
 	if err != nil {
 		return configurer.Result{}, err
 	}
-	return drain.flags.editor().Apply(ctx, drain.flags.Section, body, found.revision)
+	editor := &configurer.Editor{API: api, Clock: clocker.System{}}
+	return editor.Apply(ctx, drain.flags.Section, body, found.revision)
 }
 
 // edit returns the section's body with the stop added or removed. Other fields
--- a/internal/commander/get.go
+++ b/internal/commander/get.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 
+	"github.com/cuminstream/cuminstream/internal/platformer"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
@@ -38,10 +39,14 @@
 func (get *get) run(ctx context.Context, streams streams) error {
 	ctx, cancel := clocker.WithTimeout(ctx, clocker.System{}, get.flags.Patience)
 	defer cancel()
+	api, err := get.flags.api()
+	if err != nil {
+		return err
+	}
 	if get.flags.Section == "" {
-		return get.list(ctx, streams)
+		return listSections(ctx, api, streams)
 	}
-	found, err := section(ctx, get.flags.api(), get.flags.Section)
+	found, err := readSection(ctx, api, get.flags.Section)
 	if err != nil {
 		return err
 	}
@@ -50,8 +55,8 @@
 	return nil
 }
 
-func (get *get) list(ctx context.Context, streams streams) error {
-	index, err := index(ctx, get.flags.api())
+func listSections(ctx context.Context, api platformer.API, streams streams) error {
+	index, err := readIndex(ctx, api)
 	if err != nil {
 		return err
 	}
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"time"
 
@@ -18,12 +19,12 @@
 	Patience time.Duration `default:"10s" help:"Longest wait for the platform."`
 }
 
-func (flags platformFlags) api() platformer.API {
-	return &platformer.Client{BaseURL: flags.Platform}
-}
-
-func (flags platformFlags) editor() *configurer.Editor {
-	return &configurer.Editor{API: flags.api(), Clock: clocker.System{}}
+func (flags platformFlags) api() (platformer.API, error) {
+	client, err := platformer.NewClient(flags.Platform, clocker.System{}, http.DefaultTransport)
+	if err != nil {
+		return nil, withCode(exitInvalid, "--platform: %w", err)
+	}
+	return client, nil
 }
 
 // current is a section as the platform holds it.
@@ -35,8 +36,8 @@
 // errNoSection means that the section does not exist.
 var errNoSection = errors.New("the section does not exist")
 
-// index reads the newest index. A platform without one has no sections yet.
-func index(ctx context.Context, api platformer.API) (configurer.Index, error) {
+// readIndex returns the newest index. A platform without one has no sections.
+func readIndex(ctx context.Context, api platformer.API) (configurer.Index, error) {
 	object, err := api.Get(ctx, configurer.IndexName)
 	if errors.Is(err, platformer.ErrNotFound) {
 		return configurer.Index{}, nil
@@ -47,9 +48,9 @@
 	return configurer.DecodeIndex(object.Value)
 }
 
-// section reads one section.
-func section(ctx context.Context, api platformer.API, name string) (current, error) {
-	index, err := index(ctx, api)
+// readSection returns one section as the platform holds it.
+func readSection(ctx context.Context, api platformer.API, name string) (current, error) {
+	index, err := readIndex(ctx, api)
 	if err != nil {
 		return current{}, err
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -122,7 +122,7 @@
 
 // mayRetry allows an idempotent request one retry within the budget.
 func (attempt *attempt) mayRetry() bool {
-	if attempt.retried || !attempt.router.retries.AllowN(attempt.router.Clock.Now(), 1) {
+	if attempt.retried || !attempt.router.retries.spend() {
 		return false
 	}
 	attempt.retried = true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"golang.org/x/time/rate"
 
 	"github.com/cuminstream/cuminstream/internal/carrier"
 	"github.com/cuminstream/cuminstream/internal/configurer"
@@ -46,18 +45,11 @@
 
 	limits  refusals
 	waiting waiting
-	retries *rate.Limiter
+	retries budget
 }
 
-// retryShare bounds the router's retries to a fraction of its requests.
-const (
-	retryShare = 0.05
-	retryBurst = 10
-)
-
 // Handler returns the HTTP handler of the callers' listener.
 func (router *Router) Handler() http.Handler {
-	router.retries = rate.NewLimiter(0, retryBurst)
 	routes := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	routes.PathPrefix("/").HandlerFunc(router.serve)
 	routes.NotFoundHandler = http.HandlerFunc(router.serve)
@@ -66,9 +58,9 @@
 
 func (router *Router) serve(writer http.ResponseWriter, incoming *http.Request) {
 	started := router.Clock.Now()
-	request, err := router.parse(incoming, started)
-	if err != nil {
-		router.refuse(writer, request, err, started)
+	request, invalid := router.parse(incoming, started)
+	if invalid != nil {
+		router.refuse(writer, request, invalid, started)
 		return
 	}
 	ctx, cancel := clocker.WithTimeout(incoming.Context(), router.Clock, request.Deadline.Sub(started))
@@ -95,6 +87,7 @@
 	for {
 		response, err := attempt.once(ctx)
 		if err == nil {
+			router.retries.earn()
 			return response, nil
 		}
 		known := answerer.From(err)
