Add the stand-in for upstreams

Tests need an upstream that fails in the ways the design page lists: frozen, killed, draining, cold, shedding, lying about its load, or crashed by one request. A mock inside each test was ruled out, because several packages and the demo need the same upstream and the same record of starts.

--- /dev/null
+++ b/cmd/standin-upstream/main.go
@@ -0,0 +1,6 @@
+// Command standin-upstream is a stand-in for an upstream.
+package main
+
+import "github.com/cuminstream/cuminstream/internal/standin/upstreamer"
+
+func main() { upstreamer.Main() }
--- /dev/null
+++ b/internal/standin/upstreamer/server.go
@@ -0,0 +1,95 @@
+package upstreamer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/net/netutil"
+
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+// Listen opens the listener, so that Address is known.
+func (upstream *Upstream) Listen() (net.Listener, error) {
+	listener, err := net.Listen("tcp", upstream.settings.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listening for upstream %s: %w", upstream.settings.Name, err)
+	}
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	upstream.address = listener.Addr().String()
+	upstream.server = &http.Server{Handler: upstream}
+	return netutil.LimitListener(listener, upstream.settings.Connections), nil
+}
+
+// Serve answers requests until Close.
+func (upstream *Upstream) Serve(listener net.Listener) error {
+	if err := upstream.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serving upstream %s: %w", upstream.settings.Name, err)
+	}
+	return nil
+}
+
+// Address returns host:port of the listener.
+func (upstream *Upstream) Address() string {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return upstream.address
+}
+
+// Close closes the listener and all connections at once, as the end of the
+// process would.
+func (upstream *Upstream) Close() {
+	upstream.mutex.Lock()
+	server := upstream.server
+	upstream.mutex.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
+func (upstream *Upstream) addControl() {
+	control := upstream.router.PathPrefix("/control").Subrouter()
+	control.HandleFunc("/record", func(writer http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(writer).Encode(upstream.Records())
+	}).Methods(http.MethodGet)
+	control.HandleFunc("/highest", func(writer http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(writer).Encode(upstream.HighestRunning())
+	}).Methods(http.MethodGet)
+	control.HandleFunc("/crash", func(http.ResponseWriter, *http.Request) { upstream.Crash() }).Methods(http.MethodPost)
+	control.HandleFunc("/behavior", upstream.putBehavior).Methods(http.MethodPut)
+}
+
+func (upstream *Upstream) putBehavior(writer http.ResponseWriter, request *http.Request) {
+	var err error
+	upstream.Change(func(behavior *Behavior) {
+		changed := *behavior
+		if err = json.NewDecoder(request.Body).Decode(&changed); err == nil {
+			*behavior = changed
+		}
+	})
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+	}
+}
+
+// crashStatus is the exit status of a stand-in that crashed on request.
+const crashStatus = 3
+
+// Main runs the stand-in as a process.
+func Main() {
+	var settings Settings
+	parser := kong.Parse(&settings, kong.Name("standin-upstream"),
+		kong.Description("A stand-in for an upstream, for tests, demo and measurements."))
+	upstream := New(settings, clocker.System{})
+	upstream.Crash = func() { os.Exit(crashStatus) }
+	listener, err := upstream.Listen()
+	parser.FatalIfErrorf(err)
+	fmt.Println(upstream.Address())
+	parser.FatalIfErrorf(upstream.Serve(listener))
+}
--- /dev/null
+++ b/internal/standin/upstreamer/upstream.go
@@ -0,0 +1,124 @@
+package upstreamer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+// Upstream is the stand-in. It is an http.Handler; Serve puts it on a listener.
+type Upstream struct {
+	settings Settings
+	clock    clocker.Clock
+	started  time.Time
+	instance string
+	router   *mux.Router
+	// Crash is called when a request asks for it. The default closes the
+	// listener and all connections.
+	Crash func()
+
+	mutex    sync.Mutex
+	behavior Behavior
+	thawed   chan struct{} // closed while the stand-in is not frozen
+	grant    *Grant
+	expiry   time.Time
+	running  int
+	highest  int // most requests that ran at once
+	records  []Record
+	loads    []loadSample
+	random   *rand.Rand
+	server   *http.Server
+	address  string
+}
+
+// New returns a stand-in that is not yet on a listener.
+func New(settings Settings, clock clocker.Clock) *Upstream {
+	upstream := &Upstream{
+		settings: settings,
+		clock:    clock,
+		started:  clock.Now(),
+		instance: strconv.FormatUint(rand.Uint64(), 36),
+		thawed:   make(chan struct{}),
+		random:   rand.New(rand.NewPCG(settings.Seed, 0)),
+		router:   mux.NewRouter().SkipClean(true).UseEncodedPath(),
+	}
+	close(upstream.thawed)
+	upstream.Crash = upstream.Close
+	upstream.addControl()
+	upstream.router.HandleFunc("/cuminstream/grant", upstream.putGrant).Methods(http.MethodPut)
+	upstream.router.HandleFunc("/cuminstream/grant", upstream.getGrant).Methods(http.MethodGet)
+	upstream.router.HandleFunc("/cuminstream/health", upstream.health)
+	upstream.router.HandleFunc("/cuminstream/load", upstream.load)
+	upstream.router.PathPrefix("/").HandlerFunc(upstream.work)
+	return upstream
+}
+
+// ServeHTTP answers a request of the protocol or of the test's control.
+func (upstream *Upstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	upstream.router.ServeHTTP(writer, request)
+}
+
+// thaw waits while the stand-in is frozen. Like a paused process, it does not
+// notice meanwhile that the connection was closed.
+func (upstream *Upstream) thaw() {
+	upstream.mutex.Lock()
+	thawed := upstream.thawed
+	upstream.mutex.Unlock()
+	<-thawed
+}
+
+// stamp is the stand-in's clock in milliseconds since it started, plus one so
+// that 0 means "not read".
+func (upstream *Upstream) stamp() int64 {
+	return upstream.clock.Now().Sub(upstream.started).Milliseconds() + 1
+}
+
+func (upstream *Upstream) record(kind Kind, request *http.Request, detail string) {
+	term, _ := strconv.ParseUint(request.Header.Get("Cuminstream-Term"), 10, 64)
+	upstream.records = append(upstream.records, Record{
+		Kind: kind, Time: upstream.clock.Now(), Request: request.Header.Get("Cuminstream-Request-Id"),
+		Key: request.Header.Get("Cuminstream-Key"), Shard: request.Header.Get("Cuminstream-Shard"),
+		Term: term, Detail: detail,
+	})
+}
+
+// Records returns a copy of the record of all work.
+func (upstream *Upstream) Records() []Record {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return append([]Record(nil), upstream.records...)
+}
+
+// HighestRunning returns the most requests that ever ran at once.
+func (upstream *Upstream) HighestRunning() int {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return upstream.highest
+}
+
+// Change applies the function to the behavior.
+func (upstream *Upstream) Change(change func(*Behavior)) {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	before := upstream.behavior.Frozen
+	change(&upstream.behavior)
+	switch {
+	case upstream.behavior.Frozen && !before:
+		upstream.thawed = make(chan struct{})
+	case !upstream.behavior.Frozen && before:
+		close(upstream.thawed)
+	}
+}
+
+// refuse answers that the request did not start.
+func refuse(writer http.ResponseWriter, status int, reason, detail string) {
+	writer.Header().Set("Cuminstream-Refusal", reason)
+	http.Error(writer, fmt.Sprintf("%s: %s", reason, detail), status)
+}
