Add the adapter of the upstreams' protocol

A request that may have run must never be reported as not run, and net/http must not repeat one by itself. net/http repeats a request on a broken reused connection when the body is empty and the method is GET, HEAD, OPTIONS or TRACE, or when the Idempotency-Key header is present.

--- a/internal/standin/upstreamer/grant.go
+++ b/internal/standin/upstreamer/grant.go
@@ -78,7 +78,7 @@
 	if !upstream.clock.Now().Before(upstream.expiry) {
 		return "the grant has expired"
 	}
-	key := request.Header.Get("Cuminstream-Key")
+	key := requestKey(request)
 	if grant.keys[key] || grant.shards[request.Header.Get("Cuminstream-Shard")] && !grant.withoutKeys[key] {
 		return ""
 	}
@@ -89,7 +89,7 @@
 	upstream.thaw()
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
-	upstream.reply(writer, http.StatusOK)
+	upstream.replyWith(writer, http.StatusOK, upstream.grant)
 }
 
 func (upstream *Upstream) health(writer http.ResponseWriter, _ *http.Request) {
@@ -104,10 +104,14 @@
 }
 
 func (upstream *Upstream) reply(writer http.ResponseWriter, status int) {
+	upstream.replyWith(writer, status, nil)
+}
+
+func (upstream *Upstream) replyWith(writer http.ResponseWriter, status int, grant *Grant) {
 	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
 	_ = json.NewEncoder(writer).Encode(Reply{
-		Grant: upstream.grant, Stamp: upstream.stamp(), Instance: upstream.instance,
+		Grant: grant, Stamp: upstream.stamp(), Instance: upstream.instance,
 		Draining: upstream.behavior.Draining, Running: upstream.running,
 	})
 }
--- a/internal/standin/upstreamer/upstream.go
+++ b/internal/standin/upstreamer/upstream.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -84,11 +85,20 @@
 	term, _ := strconv.ParseUint(request.Header.Get("Cuminstream-Term"), 10, 64)
 	upstream.records = append(upstream.records, Record{
 		Kind: kind, Time: upstream.clock.Now(), Request: request.Header.Get("Cuminstream-Request-Id"),
-		Key: request.Header.Get("Cuminstream-Key"), Shard: request.Header.Get("Cuminstream-Shard"),
+		Key: requestKey(request), Shard: request.Header.Get("Cuminstream-Shard"),
 		Term: term, Detail: detail,
 	})
 }
 
+// requestKey returns the key, which the header carries percent-encoded.
+func requestKey(request *http.Request) string {
+	key, err := url.PathUnescape(request.Header.Get("Cuminstream-Key"))
+	if err != nil {
+		return ""
+	}
+	return key
+}
+
 // Records returns a copy of the record of all work.
 func (upstream *Upstream) Records() []Record {
 	upstream.mutex.Lock()
--- a/internal/standin/upstreamer/work.go
+++ b/internal/standin/upstreamer/work.go
@@ -113,7 +113,7 @@
 	}
 	return Answer{
 		Upstream: upstream.settings.Name, Request: request.Header.Get("Cuminstream-Request-Id"),
-		Key: request.Header.Get("Cuminstream-Key"), Bytes: size, SHA256: hex.EncodeToString(hash.Sum(nil)),
+		Key: requestKey(request), Bytes: size, SHA256: hex.EncodeToString(hash.Sum(nil)),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/upstreamer/client_test.go
@@ -0,0 +1,257 @@
+package upstreamer_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/internal/carrier"
+	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/dispatcher"
+	standin "github.com/cuminstream/cuminstream/internal/standin/upstreamer"
+	"github.com/cuminstream/cuminstream/internal/upstreamer"
+	"github.com/cuminstream/cuminstream/pkg/answerer"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/queuer"
+)
+
+func start(t *testing.T, settings standin.Settings) (*standin.Upstream, configurer.Upstream) {
+	settings.Listen, settings.Connections, settings.Slots = "127.0.0.1:0", 10, 2
+	upstream := standin.New(settings, clocker.System{})
+	listener, err := upstream.Listen()
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- upstream.Serve(listener) }()
+	t.Cleanup(func() {
+		upstream.Close()
+		<-served
+	})
+	return upstream, configurer.Upstream{Name: "u", Address: upstream.Address(), Connections: 10}
+}
+
+func request(method string, headers ...string) *carrier.Request {
+	header := http.Header{}
+	for index := 0; index < len(headers); index += 2 {
+		header.Add(headers[index], headers[index+1])
+	}
+	return &carrier.Request{
+		ID: "r1", Group: "g", Key: "k 1", Shard: 3, Rank: queuer.Lookup, Method: method, Target: "/quotes?a=%2F",
+		Host: "quotes.example", Header: header, Deadline: clocker.System{}.Now().Add(5 * time.Second),
+	}
+}
+
+func newClient(t *testing.T) *upstreamer.Client {
+	client := upstreamer.New(clocker.System{})
+	t.Cleanup(client.Close)
+	return client
+}
+
+// server answers each request on raw connections by the function, which
+// returns false to close the connection.
+func server(t *testing.T, answer func(*http.Request, net.Conn) bool) configurer.Upstream {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil || !answer(request, conn) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return configurer.Upstream{Name: "raw", Address: listener.Addr().String(), Connections: 10}
+}
+
+// Guards against net/http's own repeat of a request whose reused connection
+// broke after the request was written: the upstream would run it twice.
+func TestBrokenReusedConnectionIsNotRepeated(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodOptions, http.MethodPost, http.MethodDelete} {
+		var seen atomic.Int32
+		upstream := server(t, func(_ *http.Request, conn net.Conn) bool {
+			if seen.Add(1) > 1 {
+				return false
+			}
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			return true
+		})
+		client := newClient(t)
+		for attempt := range 2 {
+			response, err := client.Send(t.Context(), upstream, request(method, "Idempotency-Key", "x", "X-Idempotency-Key", "y"), 1)
+			if attempt == 0 {
+				assert.NilError(t, err)
+				_, _ = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				continue
+			}
+			var unsent *dispatcher.NotSent
+			assert.Assert(t, err != nil && !errors.As(err, &unsent), "%s: %v", method, err)
+		}
+		assert.Equal(t, seen.Load(), int32(2), method)
+	}
+}
+
+// Guards against a refused connection, a fenced or a shed request that is
+// taken for one that may have run.
+func TestProvablyNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	fencing, fenced := start(t, standin.Settings{ChecksGrants: true})
+	shedding, shed := start(t, standin.Settings{})
+	shedding.Change(func(behavior *standin.Behavior) { behavior.Shed = true })
+	for reason, upstream := range map[dispatcher.Reason]configurer.Upstream{
+		dispatcher.Dial: {Name: "d", Address: address, Connections: 4}, dispatcher.Fenced: fenced, dispatcher.Shed: shed,
+	} {
+		_, err := newClient(t).Send(t.Context(), upstream, request(http.MethodPost), 1)
+		var unsent *dispatcher.NotSent
+		assert.Assert(t, errors.As(err, &unsent), "%s: %v", reason, err)
+		assert.Equal(t, unsent.Reason, reason)
+	}
+	assert.Equal(t, len(standin.Counts(fencing.Records(), standin.Started)), 0)
+	assert.Equal(t, len(standin.Counts(shedding.Records(), standin.Started)), 0)
+}
+
+// Guards against a cancelled request that is taken for one that never left,
+// while the upstream runs it.
+func TestCancelledAfterTheSendMayHaveRun(t *testing.T) {
+	upstream, spec := start(t, standin.Settings{})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		_, err := newClient(t).Send(ctx, spec, request(http.MethodGet, standin.HeaderServiceTime, "10s"), 1)
+		done <- err
+	}()
+	waitFor(t, func() bool { return len(upstream.Records()) == 1 })
+	cancel()
+	err := <-done
+	var unsent *dispatcher.NotSent
+	assert.Assert(t, err != nil && !errors.As(err, &unsent), "%v", err)
+	waitFor(t, func() bool { return len(upstream.Records()) == 2 })
+	assert.Equal(t, upstream.Records()[1].Kind, standin.Cancelled)
+}
+
+func waitFor(t *testing.T, holds func() bool) {
+	for range 500 {
+		if holds() {
+			return
+		}
+		assert.NilError(t, clocker.Sleep(t.Context(), clocker.System{}, 10*time.Millisecond))
+	}
+	t.Fatal("the condition did not come true within 5 s")
+}
+
+// Guards against a cut answer that reaches the caller as a complete one.
+func TestCutAnswer(t *testing.T) {
+	_, spec := start(t, standin.Settings{})
+	response, err := newClient(t).Send(t.Context(), spec,
+		request(http.MethodGet, standin.HeaderCut, "body", standin.HeaderAnswerBytes, "100000"), 1)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	read, err := io.Copy(io.Discard, response.Body)
+	assert.Assert(t, read < 100000)
+	assert.Equal(t, answerer.From(err).Kind, answerer.CutBody)
+}
+
+// Guards against fields of one connection that pass to the next, against
+// forged fields of the protocol, and against lost trailers.
+func TestHeadersAndTrailers(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	upstream := server(t, func(request *http.Request, conn net.Conn) bool {
+		_, _ = io.ReadAll(request.Body)
+		seen <- request
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: X-Private\r\nX-Private: 1\r\nX-Kept: 1\r\n" +
+			"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Late: 1\r\n\r\n"))
+		return true
+	})
+	outgoing := request(http.MethodPost, "Connection", "X-Hop, keep-alive", "X-Hop", "1", "Proxy-Authorization", "a",
+		"Keep-Alive", "b", "Te", "trailers", "Cuminstream-Term", "99", "X-End", "1")
+	outgoing.Body, outgoing.ContentLength = strings.NewReader("body"), 4
+	outgoing.Trailer = http.Header{"X-Sum": {"7"}}
+	response, err := newClient(t).Send(t.Context(), upstream, outgoing, 5)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	incoming := <-seen
+	for _, name := range []string{"X-Hop", "Proxy-Authorization", "Keep-Alive"} {
+		assert.Equal(t, incoming.Header.Get(name), "", name)
+	}
+	assert.DeepEqual(t, incoming.Trailer, http.Header{"X-Sum": {"7"}})
+	assert.Equal(t, incoming.Header.Get("X-End")+incoming.Header.Get("Te"), "1trailers")
+	assert.Equal(t, incoming.Header.Get("Cuminstream-Term"), "5")
+	assert.Equal(t, incoming.Header.Get("Cuminstream-Key"), "k%201")
+	assert.Equal(t, incoming.RequestURI, "/quotes?a=%2F")
+	assert.Equal(t, incoming.Host, "quotes.example")
+	assert.Equal(t, response.Header.Get("X-Private")+response.Header.Get("X-Kept"), "1")
+	assert.Equal(t, response.Trailer.Get("X-Late"), "1")
+	_, err = newClient(t).Send(t.Context(), upstream, request(http.MethodGet, "Connection", "Upgrade", "Upgrade", "websocket"), 5)
+	var unsent *dispatcher.NotSent
+	assert.Assert(t, errors.As(err, &unsent) && unsent.Reason == dispatcher.Invalid, "%v", err)
+}
+
+// Guards against a large upload that is sent to an upstream which refuses it:
+// the body could then not be sent to another one.
+func TestLargeBodyIsHeldBackUntilAccepted(t *testing.T) {
+	upstream, spec := start(t, standin.Settings{})
+	content := strings.Repeat("manifest", 1<<17)
+	send := func(body io.Reader) (*carrier.Response, error) {
+		upload := request(http.MethodPut)
+		upload.Body, upload.ContentLength = body, int64(len(content))
+		return newClient(t).Send(t.Context(), spec, upload, 1)
+	}
+	upstream.Change(func(behavior *standin.Behavior) { behavior.Shed = true })
+	body := strings.NewReader(content)
+	_, err := send(body)
+	var unsent *dispatcher.NotSent
+	assert.Assert(t, errors.As(err, &unsent), "%v", err)
+	assert.Equal(t, body.Len(), len(content))
+	upstream.Change(func(behavior *standin.Behavior) { behavior.Shed = false })
+	response, err := send(body)
+	assert.NilError(t, err)
+	var answer standin.Answer
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&answer))
+	sum := sha256.Sum256([]byte(content))
+	assert.Equal(t, answer.SHA256, hex.EncodeToString(sum[:]))
+}
+
+// Guards against a refused grant without the upstream's clock, which the
+// holder needs for the next one.
+func TestGrantAndProbe(t *testing.T) {
+	_, spec := start(t, standin.Settings{ChecksGrants: true})
+	client := newClient(t)
+	grant := dispatcher.Grant{Group: "g", Term: 1, Seq: 1, TTL: 800 * time.Millisecond, Shards: []uint32{3}}
+	reply, err := client.Grant(t.Context(), spec, grant)
+	var refused *dispatcher.Refused
+	assert.Assert(t, errors.As(err, &refused) && refused.Reason == dispatcher.Late, "%v", err)
+	grant.Stamp = reply.Stamp
+	_, err = client.Grant(t.Context(), spec, grant)
+	assert.NilError(t, err)
+	_, err = client.Send(t.Context(), spec, request(http.MethodGet), 1)
+	assert.NilError(t, err)
+	reply, err = client.Probe(t.Context(), spec)
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Instance != "" && reply.Stamp > 0)
+}
--- /dev/null
+++ b/internal/upstreamer/control.go
@@ -0,0 +1,83 @@
+package upstreamer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/dispatcher"
+)
+
+// maxReplyBytes bounds the answer to a grant, which may repeat 16384 shards.
+const maxReplyBytes = 1 << 20
+
+// wireGrant is a grant as the protocol writes it. TTL is in milliseconds.
+type wireGrant struct {
+	Group       string   `json:"group"`
+	Term        uint64   `json:"term"`
+	Seq         uint64   `json:"seq"`
+	TTL         int64    `json:"ttl"`
+	Stamp       int64    `json:"stamp"`
+	Renew       bool     `json:"renew,omitempty"`
+	Shards      []uint32 `json:"shards,omitempty"`
+	Keys        []string `json:"keys,omitempty"`
+	WithoutKeys []string `json:"withoutKeys,omitempty"`
+}
+
+type wireReply struct {
+	Stamp    int64  `json:"stamp"`
+	Instance string `json:"instance"`
+	Draining bool   `json:"draining"`
+}
+
+// Grant implements dispatcher.Upstreams.
+func (client *Client) Grant(ctx context.Context, upstream configurer.Upstream, grant dispatcher.Grant) (dispatcher.Reply, error) {
+	body, err := json.Marshal(wireGrant{
+		Group: grant.Group, Term: grant.Term, Seq: grant.Seq, TTL: grant.TTL.Milliseconds(), Stamp: grant.Stamp,
+		Renew: grant.Renew, Shards: grant.Shards, Keys: grant.Keys, WithoutKeys: grant.WithoutKeys,
+	})
+	if err != nil {
+		return dispatcher.Reply{}, fmt.Errorf("encoding a grant: %w", err)
+	}
+	response, reply, err := client.control(ctx, upstream, http.MethodPut, "/cuminstream/grant", body)
+	if err != nil {
+		return reply, err
+	}
+	switch response.StatusCode {
+	case http.StatusOK:
+		return reply, nil
+	case http.StatusConflict:
+		return reply, &dispatcher.Refused{Reason: dispatcher.Reason(response.Header.Get(headerRefusal))}
+	}
+	return reply, fmt.Errorf("upstream %s answered a grant with %s", upstream.Name, response.Status)
+}
+
+// Probe implements dispatcher.Upstreams. Any status counts as an answer,
+// because health endpoints mislead.
+func (client *Client) Probe(ctx context.Context, upstream configurer.Upstream) (dispatcher.Reply, error) {
+	_, reply, err := client.control(ctx, upstream, http.MethodGet, "/cuminstream/health", nil)
+	return reply, err
+}
+
+func (client *Client) control(ctx context.Context, upstream configurer.Upstream, method, path string, body []byte) (*http.Response, dispatcher.Reply, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+upstream.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, dispatcher.Reply{}, fmt.Errorf("addressing upstream %s: %w", upstream.Name, err)
+	}
+	response, err := client.to(upstream).control.RoundTrip(request)
+	if err != nil {
+		return nil, dispatcher.Reply{}, fmt.Errorf("asking upstream %s: %w", upstream.Name, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return nil, dispatcher.Reply{}, fmt.Errorf("reading the answer of upstream %s: %w", upstream.Name, err)
+	}
+	var reply wireReply
+	_ = json.Unmarshal(data, &reply) // an upstream without the protocol's health answer is still alive
+	return response, dispatcher.Reply{Stamp: reply.Stamp, Instance: reply.Instance, Draining: reply.Draining}, nil
+}
