Add the group's dispatcher

The group holder needs one place that knows slots, queues, request IDs and the owner of each key. Locks per upstream were ruled out: moving a key reads two upstreams, the assignment and the requests in flight at once.

Ownership is kept in three tables: the assignment in effect (target), the upstream that may still act on a grant (held), and the upstream where a key has requests in flight (running). A key is sent to its target only when no other upstream holds it or runs it. A place is released when its holder confirms a grant without it or when that grant has expired, counted from the upstream's last answer.

A broken connection is decided by the upstream's next answer: if the upstream survived, an idempotent request may be sent again; if not, its fingerprint gets a count.

--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,27 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/pkg/queuer"
+)
+
+// Guards against a group that does not serve once it has a holder.
+func TestServes(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		run(t, checks, []string{"u1", "u2"}, func(bench *bench) {
+			for _, name := range []string{"u1", "u2"} {
+				got := bench.send(bench.request("r-"+name, bench.keyOf(name), queuer.Lookup))
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.upstream, name)
+			}
+			got := bench.send(bench.request("t1", "k", queuer.Transaction))
+			assert.NilError(t, got.err)
+			bench.sleep(5 * time.Second)
+			assert.Equal(t, bench.events("upstreamLost"), 0)
+		})
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/renewals.go
@@ -0,0 +1,154 @@
+package dispatcher
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cuminstream/cuminstream/internal/timeliner"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+// renewals keeps the grant of one upstream, and thereby learns whether the
+// upstream answers. It ends with the tenure or when the upstream has left.
+func (dispatcher *Dispatcher) renewals(tenure *tenure, name string) {
+	ticker := dispatcher.Clock.NewTicker(renewalPeriod)
+	defer ticker.Stop()
+	for {
+		known := dispatcher.renew(tenure, name)
+		if known == nil {
+			return
+		}
+		select {
+		case <-tenure.ctx.Done():
+			return
+		case <-ticker.C():
+		case <-known.kick:
+		}
+	}
+}
+
+// renew sends one renewal. It returns nil when there is nothing to renew any
+// more.
+func (dispatcher *Dispatcher) renew(tenure *tenure, name string) *upstream {
+	known, renewal, checks := dispatcher.nextRenewal(tenure, name)
+	if known == nil {
+		return nil
+	}
+	if _, ok := tenure.lease.Valid(); !ok {
+		return known
+	}
+	ctx, cancel := clocker.WithTimeout(tenure.ctx, dispatcher.Clock, renewalTimeout)
+	defer cancel()
+	var reply Reply
+	var err error
+	if checks {
+		reply, err = dispatcher.Upstreams.Grant(ctx, known.spec, renewal.grant)
+	} else {
+		reply, err = dispatcher.Upstreams.Probe(ctx, known.spec)
+	}
+	dispatcher.renewed(tenure, known, renewal, reply, err)
+	return known
+}
+
+func (dispatcher *Dispatcher) nextRenewal(tenure *tenure, name string) (*upstream, *renewal, bool) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	known := dispatcher.upstreams[name]
+	if dispatcher.tenure != tenure || known == nil {
+		return nil, nil, false
+	}
+	covered := content{}
+	if known.health != lost {
+		covered = dispatcher.ownership.grantable(name, dispatcher.shardOf)
+	}
+	full := dispatcher.ownership.grant(name, covered, dispatcher.shardOf)
+	full.Group, full.Term = dispatcher.Group, tenure.term
+	renewal := known.renew(full, covered, dispatcher.Clock.Now())
+	renewal.releasing = dispatcher.ownership.releasing(name, covered)
+	return known, renewal, dispatcher.service.ChecksGrants
+}
+
+// renewed handles the answer to a renewal.
+func (dispatcher *Dispatcher) renewed(tenure *tenure, known *upstream, renewal *renewal, reply Reply, err error) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	var refused *Refused
+	if dispatcher.tenure != tenure || err != nil && !errors.As(err, &refused) {
+		return
+	}
+	now := dispatcher.Clock.Now()
+	known.lastAnswer = now
+	known.stamp = stamp{value: reply.Stamp, sent: renewal.sent, received: now}
+	if reply.Instance != "" && known.instance != "" && reply.Instance != known.instance {
+		known.causes.header = false
+		dispatcher.lose(known, "restarted")
+	}
+	if reply.Instance != "" {
+		known.instance = reply.Instance
+	}
+	known.causes.notice = reply.Draining
+	dispatcher.checkDrain(known)
+	dispatcher.survived(known, renewal.sent)
+	if refused != nil {
+		renewalRefused(known, renewal, refused.Reason)
+		return
+	}
+	if known.health == lost && len(tenure.unsaved) > 0 {
+		return // served again only once the losses are stored
+	}
+	known.confirm(renewal, dispatcher.service.ChecksGrants)
+	dispatcher.ownership.release(known.spec.Name, renewal.releasing)
+	if len(renewal.releasing) > 0 {
+		dispatcher.wakeAll()
+	}
+	dispatcher.rise(known, now)
+	dispatcher.unpark(func(*ticket) bool { return true })
+	dispatcher.pump(known)
+	dispatcher.noteDrained(known)
+}
+
+// renewalRefused prepares the next renewal. It is sent at once only where that
+// cannot repeat without end.
+func renewalRefused(known *upstream, renewal *renewal, reason Reason) {
+	if reason == Unknown {
+		known.confirmedSeq, known.validUntil = 0, time.Time{}
+	}
+	if reason == Late && renewal.grant.Stamp == 0 || reason == Unknown && renewal.grant.Renew {
+		known.wake()
+	}
+}
+
+// rise notes that the upstream has confirmed a grant. One that was lost, or
+// that joined during the tenure, is cold.
+func (dispatcher *Dispatcher) rise(known *upstream, now time.Time) {
+	if known.health == up {
+		return
+	}
+	if known.health == lost || known.joined {
+		known.coldSince = now
+	}
+	dispatcher.record(timeliner.Event{Kind: "upstreamUp", Upstream: known.spec.Name, Detail: "was " + string(known.health)})
+	known.health, known.joined = up, false
+	known.wake()
+	dispatcher.tenure.wake()
+}
+
+// survived decides the breakages that the upstream has outlived: those before
+// the answered renewal was sent.
+func (dispatcher *Dispatcher) survived(known *upstream, sent time.Time) {
+	var open []*breakage
+	for _, breakage := range known.broken {
+		if breakage.at.After(sent) {
+			open = append(open, breakage)
+			continue
+		}
+		breakage.decide(true)
+	}
+	known.broken = open
+}
+
+func (dispatcher *Dispatcher) wakeAll() {
+	for _, upstream := range dispatcher.upstreams {
+		upstream.wake()
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/status.go
@@ -0,0 +1,95 @@
+package dispatcher
+
+import (
+	"maps"
+	"sort"
+
+	"github.com/cuminstream/cuminstream/pkg/queuer"
+)
+
+// Status is what the operators see of a group.
+type Status struct {
+	Group   string `json:"group"`
+	Holding bool   `json:"holding"`
+	Term    uint64 `json:"term,omitempty"`
+	// Serving is set once no upstream can act on a grant of a former term.
+	Serving   bool              `json:"serving"`
+	Version   uint64            `json:"version"`
+	Shards    map[uint32]string `json:"shards"`
+	HotKeys   map[string]string `json:"hotKeys"`
+	Waiting   int               `json:"waiting"` // for an owner of their key
+	Upstreams []UpstreamStatus  `json:"upstreams"`
+}
+
+// UpstreamStatus is what the operators see of an upstream.
+type UpstreamStatus struct {
+	Name     string                 `json:"name"`
+	Address  string                 `json:"address"`
+	Health   string                 `json:"health"`
+	Slots    int                    `json:"slots"`
+	Taken    int                    `json:"taken"`
+	Queued   [queuer.RankCount]int  `json:"queued"` // by rank, most urgent first
+	Shards   int                    `json:"shards"`
+	Draining string                 `json:"draining,omitempty"` // why it leaves
+	Drained  bool                   `json:"drained,omitempty"`
+	Speed    float64                `json:"speed"`    // relative to the group's median
+	Capacity float64                `json:"capacity"` // in slots, while it is cold or slow
+	Keys     map[string]KeyInFlight `json:"keys,omitempty"`
+}
+
+// KeyInFlight counts the requests of a key at an upstream.
+type KeyInFlight struct {
+	Requests int `json:"requests"`
+}
+
+// Status returns the present state.
+func (dispatcher *Dispatcher) Status() Status {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	status := Status{Group: dispatcher.Group, Waiting: len(dispatcher.parked)}
+	if dispatcher.ownership == nil {
+		return status
+	}
+	if dispatcher.tenure != nil {
+		status.Holding, status.Term, status.Serving = true, dispatcher.tenure.term, dispatcher.tenure.fenced
+	}
+	assignment := dispatcher.ownership.assignment
+	status.Version = assignment.Version
+	status.Shards, status.HotKeys = maps.Clone(assignment.Shards), maps.Clone(assignment.HotKeys)
+	for _, upstream := range dispatcher.upstreams {
+		status.Upstreams = append(status.Upstreams, dispatcher.upstreamStatus(upstream))
+	}
+	sort.Slice(status.Upstreams, func(i, j int) bool { return status.Upstreams[i].Name < status.Upstreams[j].Name })
+	return status
+}
+
+func (dispatcher *Dispatcher) upstreamStatus(upstream *upstream) UpstreamStatus {
+	status := UpstreamStatus{
+		Name: upstream.spec.Name, Address: upstream.spec.Address, Health: string(upstream.health),
+		Slots: upstream.spec.Slots, Taken: upstream.taken(), Queued: upstream.queue.Lengths(),
+		Draining: upstream.causes.String(), Drained: upstream.drained, Speed: upstream.relative,
+		Capacity: upstream.capacity(dispatcher.Clock.Now()), Keys: map[string]KeyInFlight{},
+	}
+	for _, owner := range dispatcher.ownership.assignment.Shards {
+		if owner == upstream.spec.Name {
+			status.Shards++
+		}
+	}
+	for key, run := range dispatcher.ownership.running {
+		if run.upstream == upstream.spec.Name {
+			status.Keys[key] = KeyInFlight{Requests: run.count}
+		}
+	}
+	return status
+}
+
+// Owner returns the upstream that shall own the key, or "" when none does.
+func (dispatcher *Dispatcher) Owner(key string) string {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	if dispatcher.ownership == nil {
+		return ""
+	}
+	_, owner := dispatcher.ownership.target(key, dispatcher.shardOf(key))
+	return owner
+}
--- a/internal/standin/upstreamer/server.go
+++ b/internal/standin/upstreamer/server.go
@@ -21,20 +21,30 @@
 		return nil, fmt.Errorf("listening for upstream %s: %w", upstream.settings.Name, err)
 	}
 	upstream.mutex.Lock()
-	defer upstream.mutex.Unlock()
 	upstream.address = listener.Addr().String()
-	upstream.server = &http.Server{Handler: upstream}
+	upstream.mutex.Unlock()
 	return netutil.LimitListener(listener, upstream.settings.Connections), nil
 }
 
 // Serve answers requests until Close.
 func (upstream *Upstream) Serve(listener net.Listener) error {
-	if err := upstream.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := upstream.Server().Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving upstream %s: %w", upstream.settings.Name, err)
 	}
 	return nil
 }
 
+// Server returns the server that Close ends. Tests serve their own listener
+// with it.
+func (upstream *Upstream) Server() *http.Server {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	if upstream.server == nil {
+		upstream.server = &http.Server{Handler: upstream}
+	}
+	return upstream.server
+}
+
 // Address returns host:port of the listener.
 func (upstream *Upstream) Address() string {
 	upstream.mutex.Lock()
--- a/internal/upstreamer/client.go
+++ b/internal/upstreamer/client.go
@@ -23,6 +23,7 @@
 	// renewal never waits for a request.
 	controlConnections = 2
 	dialTimeout        = time.Second
+	keepAlive          = 15 * time.Second
 	// idleTimeout is below the common 60 s after which servers close idle
 	// connections, so that fewer requests meet a connection that is closing.
 	idleTimeout = 45 * time.Second
@@ -38,6 +39,9 @@
 // Client sends requests and grants to upstreams. It is safe for use by several
 // goroutines.
 type Client struct {
+	// Dial opens connections. It may be replaced before the first call.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	clock      clocker.Clock
 	mutex      sync.Mutex
 	transports map[string]*transports
@@ -51,7 +55,8 @@
 
 // New returns a client without connections.
 func New(clock clocker.Clock) *Client {
-	return &Client{clock: clock, transports: map[string]*transports{}}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return &Client{Dial: dialer.DialContext, clock: clock, transports: map[string]*transports{}}
 }
 
 // Close closes the idle connections to all upstreams.
@@ -88,19 +93,18 @@
 		known.control.CloseIdleConnections()
 	}
 	created := &transports{
-		work:        newTransport(max(upstream.Connections-controlConnections, 1)),
-		control:     newTransport(controlConnections),
+		work:        client.newTransport(max(upstream.Connections-controlConnections, 1)),
+		control:     client.newTransport(controlConnections),
 		connections: upstream.Connections,
 	}
 	client.transports[upstream.Address] = created
 	return created
 }
 
-func newTransport(connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+func (client *Client) newTransport(connections int) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := client.Dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
