Add the store of the platform's objects with watch and exchange

Cause: every VM needs the newest document, groups, homes and assignments, also while the platform is down, but the platform's rates allow only two watchers in each zone.

Change: Store merges objects from the watch and from peers by their revision and never goes back. An index becomes visible only with all its bodies; several indexes may be pending, so that one whose bodies the platform no longer delivers does not keep out the complete document of a peer. Lists leave out section bodies, because the platform keeps all that ever were. Watches retry with jitter up to 2 s, list again after a restarted sequence and, against skipped changes, every 5 to 15 min. Put reads back after a conflict or an unknown outcome, and sends the same conditional write again while the version is unchanged.

Found on the way: spare bodies were dropped one by one in the middle of a merge, so that a document of 200 bodies whose index came last never became complete; they are now dropped after the merge. After an outage, a long-poll watch hid for 10 s that the platform was back; the first watch after a failure now returns at once.

--- /dev/null
+++ b/internal/syncer/exchange_test.go
@@ -0,0 +1,159 @@
+package syncer_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/syncer"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+func newStore() *syncer.Store { return syncer.New(nil, clocker.NewFake(time.Unix(0, 0))) }
+
+// pull makes the store ask the peer until it lacks nothing, and returns the
+// number of exchanges.
+func pull(store, peer *syncer.Store) int {
+	const most = 1000
+	for round := range most {
+		objects := peer.Newer(store.Summary())
+		if len(objects) == 0 {
+			return round
+		}
+		store.Merge(objects)
+	}
+	return most
+}
+
+// document returns the objects of an index of the revision with count bodies of
+// size bytes.
+func document(revision uint64, count, size int) []syncer.Object {
+	index := configurer.Index{Revision: revision, WriteID: fmt.Sprint(revision), Sections: map[string]configurer.IndexEntry{}}
+	var objects []syncer.Object
+	for number := range count {
+		body := append(fmt.Appendf(nil, "%d/%d ", revision, number), bytes.Repeat([]byte(" "), size)...)
+		name := configurer.BodyName(body)
+		index.Sections[fmt.Sprint(number)] = configurer.IndexEntry{Body: name[len(configurer.BodyPrefix):], Revision: revision}
+		objects = append(objects, syncer.Object{Name: name, Version: "1", Value: body})
+	}
+	encoded, _ := json.Marshal(index)
+	return append(objects, syncer.Object{Name: configurer.IndexName, Version: fmt.Sprint(revision), Value: encoded})
+}
+
+// Guards against a stale peer that takes a store back, and against objects that
+// a peer could make up.
+func TestStalePeer(t *testing.T) {
+	store, stale := newStore(), newStore()
+	stale.Merge([]syncer.Object{{Name: "homes/s", Version: "1", Value: value(1, "a")}})
+	store.Merge([]syncer.Object{{Name: "homes/s", Version: "2", Value: value(2, "b")}})
+	assert.Equal(t, len(store.Merge(stale.Newer(nil))), 0)
+	assert.Equal(t, store.Revision("homes/s"), uint64(2))
+	assert.Equal(t, pull(stale, store), 1)
+	assert.Equal(t, stale.Digest(), store.Digest())
+	for _, object := range []syncer.Object{
+		{Name: "homes/s", Value: []byte(`{"revision":`)},
+		{Name: "homes/s", Value: []byte(`{"revision":-3}`)},
+		{Name: "homes/s", Value: []byte(`{}`)},
+		{Name: "other/s", Value: value(9, "a")},
+		{Name: configurer.BodyPrefix + "00", Value: value(9, "a")},
+		{Name: "homes/s", Value: append(value(9, "a"), bytes.Repeat([]byte(" "), 1_000_000)...)},
+	} {
+		assert.Equal(t, len(store.Merge([]syncer.Object{object})), 0, object.Name)
+	}
+}
+
+// Guards against an index that is visible without its bodies, and against a
+// document larger than one message that never arrives.
+func TestLargeDocument(t *testing.T) {
+	store, peer := newStore(), newStore()
+	peer.Merge(document(1, 200, 20_000))
+	peer.Merge(document(2, 200, 20_000))
+	names := []string{}
+	store.Subscribe(configurer.IndexName, func(name string) {
+		names = append(names, name)
+		object, _ := store.Get(name)
+		index, err := configurer.DecodeIndex(object.Value)
+		assert.NilError(t, err)
+		for _, body := range index.BodyNames() {
+			_, ok := store.Get(body)
+			assert.Assert(t, ok)
+		}
+	})
+	rounds := pull(store, peer)
+	assert.Assert(t, rounds >= 4 && rounds <= 6, rounds)
+	assert.Equal(t, len(names), 1)
+	assert.Equal(t, store.Digest(), peer.Digest())
+}
+
+// Guards against a VM that knows a newer index whose bodies nobody has, and for
+// that reason never gets the complete older document of its peers.
+func TestIndexWithoutBodies(t *testing.T) {
+	store, peer := newStore(), newStore()
+	peer.Merge(document(1, 3, 10))
+	newer := document(2, 3, 10)
+	store.Merge(newer[3:])
+	assert.Equal(t, store.Revision(configurer.IndexName), uint64(0))
+	pull(store, peer)
+	assert.Equal(t, store.Revision(configurer.IndexName), uint64(1))
+	store.Merge(newer[:3])
+	assert.Equal(t, store.Revision(configurer.IndexName), uint64(2))
+	_, ok := store.Get(document(1, 3, 10)[0].Name)
+	assert.Assert(t, ok, "a few unused bodies are kept")
+	for revision := range uint64(100) {
+		store.Merge(document(revision+3, 3, 10))
+	}
+	_, ok = store.Get(document(3, 3, 10)[0].Name)
+	assert.Assert(t, !ok, "unused bodies are bounded")
+}
+
+// Guards against stores that end up different after they exchanged everything,
+// or that go back on the way. Seeds are fixed.
+func TestExchangesConverge(t *testing.T) {
+	for _, seed := range []string{"1", "2", "3"} {
+		assert.NilError(t, flag.Set("rapid.seed", seed))
+		rapid.Check(t, func(rt *rapid.T) {
+			stores := make([]*syncer.Store, rapid.IntRange(2, 5).Draw(rt, "stores"))
+			newest := map[string]uint64{}
+			for number := range stores {
+				stores[number] = newStore()
+			}
+			member := rapid.IntRange(0, len(stores)-1)
+			for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+				store := stores[member.Draw(rt, "store")]
+				before := store.Summary()
+				switch revision := rapid.Uint64Range(1, 9).Draw(rt, "revision"); rapid.IntRange(0, 2).Draw(rt, "action") {
+				case 0:
+					name := rapid.SampledFrom([]string{"homes/a", "groups/a", "assignments/a"}).Draw(rt, "name")
+					store.Merge([]syncer.Object{{Name: name, Version: fmt.Sprint(revision), Value: value(revision, "w")}})
+					newest[name] = max(newest[name], revision)
+				case 1:
+					store.Merge(document(revision, 3, 10))
+					newest[configurer.IndexName] = max(newest[configurer.IndexName], revision)
+				case 2:
+					store.Merge(stores[member.Draw(rt, "peer")].Newer(store.Summary()))
+				}
+				for name := range newest {
+					assert.Assert(rt, store.Revision(name) >= before[name])
+				}
+			}
+			for range stores {
+				for number := range stores {
+					pull(stores[number], stores[(number+1)%len(stores)])
+				}
+			}
+			for _, store := range stores {
+				assert.Equal(rt, store.Digest(), stores[0].Digest())
+				for name, revision := range newest {
+					assert.Equal(rt, store.Revision(name), revision, name)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/syncer/object.go
@@ -0,0 +1,105 @@
+package syncer
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/platformer"
+)
+
+// The prefixes of the objects that a Store holds.
+const (
+	ConfigPrefix      = "config/"
+	GroupsPrefix      = "groups/"
+	HomesPrefix       = "homes/"
+	AssignmentsPrefix = "assignments/"
+)
+
+const (
+	// bodyRevision stands for the revision of section bodies, which never
+	// change.
+	bodyRevision = 1
+
+	maxName = 512 // bytes
+)
+
+// Object is an object as peers exchange it.
+type Object struct {
+	Name    string `cbor:"name"`
+	Version string `cbor:"version"`
+	Value   []byte `cbor:"value"`
+}
+
+// class orders the objects of an exchange. The index comes before the bodies,
+// so that the receiver knows which bodies it must keep.
+type class int
+
+const (
+	indexClass class = iota
+	bodyClass
+	groupClass
+	homeClass
+	assignmentClass
+	foreignClass
+)
+
+func classify(name string) class {
+	switch {
+	case name == configurer.IndexName:
+		return indexClass
+	case strings.HasPrefix(name, configurer.BodyPrefix):
+		return bodyClass
+	case strings.HasPrefix(name, GroupsPrefix):
+		return groupClass
+	case strings.HasPrefix(name, HomesPrefix):
+		return homeClass
+	case strings.HasPrefix(name, AssignmentsPrefix):
+		return assignmentClass
+	default:
+		return foreignClass
+	}
+}
+
+// sortNames orders names by class, then by name.
+func sortNames(names []string) {
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(classify(a), classify(b)), cmp.Compare(a, b))
+	})
+}
+
+// revisionOf checks the object and returns its revision.
+func revisionOf(object platformer.Object) (uint64, error) {
+	if len(object.Name) > maxName || len(object.Value) > platformer.MaxValue {
+		return 0, fmt.Errorf("object %.40s has a name of %d and a value of %d bytes", object.Name, len(object.Name), len(object.Value))
+	}
+	switch classify(object.Name) {
+	case foreignClass:
+		return 0, fmt.Errorf("object %s is under none of the known prefixes", object.Name)
+	case bodyClass:
+		if configurer.BodyName(object.Value) != object.Name {
+			return 0, fmt.Errorf("value of %s does not have the hash of its name", object.Name)
+		}
+		return bodyRevision, nil
+	}
+	var header struct {
+		Revision uint64 `json:"revision"`
+	}
+	if err := json.Unmarshal(object.Value, &header); err != nil {
+		return 0, fmt.Errorf("value of %s: %w", object.Name, err)
+	}
+	if header.Revision == 0 {
+		return 0, fmt.Errorf("value of %s has no revision", object.Name)
+	}
+	return header.Revision, nil
+}
+
+// fingerprint is the object's part of the digest.
+func fingerprint(name string, revision uint64) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%d %s", revision, name))
+}
--- /dev/null
+++ b/internal/syncer/store_test.go
@@ -0,0 +1,226 @@
+package syncer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/platformer"
+	standin "github.com/cuminstream/cuminstream/internal/standin/platformer"
+	"github.com/cuminstream/cuminstream/internal/syncer"
+	"github.com/cuminstream/cuminstream/internal/timeliner"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+type fixture struct {
+	*standin.Platform
+	client *platformer.Client
+	clock  *clocker.Fake
+	store  *syncer.Store
+}
+
+func start(t *testing.T) fixture {
+	t.Helper()
+	platform := standin.New(clocker.System{}, standin.Settings{})
+	server := httptest.NewServer(platform)
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { platform.SetOutage(standin.Outage{Mode: standin.Refuse}) })
+	client, err := platformer.NewClient(server.URL, clocker.System{}, nil)
+	assert.NilError(t, err)
+	clock := clocker.NewFake(time.Unix(1000, 0))
+	return fixture{platform, client, clock, syncer.New(client, clock)}
+}
+
+// run runs the store until the test ends.
+func (fixture fixture) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return fixture.store.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, group.Wait())
+	})
+}
+
+// advance moves the clock by steps until the condition holds.
+func (fixture fixture) advance(t *testing.T, step time.Duration, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		fixture.clock.Advance(step)
+		assert.NilError(t, clocker.Sleep(t.Context(), clocker.System{}, time.Millisecond))
+	}
+	t.Fatal("condition does not hold after 2000 steps")
+}
+
+func (fixture fixture) await(t *testing.T, name string, revision uint64) {
+	t.Helper()
+	fixture.advance(t, 100*time.Millisecond, func() bool { return fixture.store.Revision(name) == revision })
+}
+
+func value(revision uint64, writer string) []byte {
+	return fmt.Appendf(nil, `{"revision":%d,"writeId":%q}`, revision, writer)
+}
+
+func (fixture fixture) put(t *testing.T, name string, revision uint64, version string) string {
+	t.Helper()
+	written, err := fixture.client.Put(t.Context(), name, value(revision, "w"), version)
+	assert.NilError(t, err)
+	return written
+}
+
+// Guards against a store that loses what it knows in an outage, or that does
+// not catch up after it.
+func TestOutage(t *testing.T) {
+	fixture := start(t)
+	recorder := timeliner.New(fixture.clock, "vm1")
+	fixture.store.Recorder = recorder
+	version := fixture.put(t, "groups/g", 1, "")
+	fixture.run(t)
+	fixture.await(t, "groups/g", 1)
+	fixture.SetOutage(standin.Outage{Mode: standin.Refuse})
+	fixture.advance(t, 100*time.Millisecond, func() bool { return len(recorder.Events(timeliner.Filter{})) == 1 })
+	object, ok := fixture.store.Get("groups/g")
+	assert.Assert(t, ok)
+	assert.Equal(t, object.Version, version)
+	fixture.SetOutage(standin.Outage{})
+	fixture.put(t, "groups/g", 2, version)
+	fixture.await(t, "groups/g", 2)
+	fixture.advance(t, 100*time.Millisecond, func() bool { return len(recorder.Events(timeliner.Filter{})) == 2 })
+	kinds := []string{}
+	for _, event := range recorder.Events(timeliner.Filter{}) {
+		kinds = append(kinds, event.Kind)
+	}
+	assert.DeepEqual(t, kinds, []string{"platformLost", "platformBack"})
+}
+
+// Guards against updates that are lost when the platform restarts its sequence
+// or no longer knows the sequence of a broken watch.
+func TestSequenceRestart(t *testing.T) {
+	fixture := start(t)
+	version := fixture.put(t, "homes/s", 1, "")
+	fixture.run(t)
+	fixture.await(t, "homes/s", 1)
+	for revision, disturb := range []func(){fixture.RestartSequence, fixture.Compact, fixture.RestartSequence} {
+		fixture.SetOutage(standin.Outage{Mode: standin.Refuse, Kinds: []standin.Kind{standin.Watch, standin.List}})
+		version = fixture.put(t, "homes/s", uint64(revision+2), version)
+		disturb()
+		fixture.SetOutage(standin.Outage{})
+		fixture.await(t, "homes/s", uint64(revision+2))
+	}
+}
+
+// skipping is a platform whose watch loses all changes.
+type skipping struct{ platformer.API }
+
+func (skipping) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]platformer.Object, uint64, error) {
+	return nil, after, nil
+}
+
+// Guards against a change that stays unknown for good because the platform's
+// watch skipped it.
+func TestSkippedChange(t *testing.T) {
+	fixture := start(t)
+	fixture.store.API = skipping{fixture.client}
+	version := fixture.put(t, "homes/s", 1, "")
+	fixture.run(t)
+	fixture.await(t, "homes/s", 1)
+	fixture.put(t, "homes/s", 2, version)
+	fixture.advance(t, time.Minute, func() bool { return fixture.store.Revision("homes/s") == 2 })
+}
+
+// Guards against calls to the platform from a VM that is not a watcher.
+func TestOnlyWatchersCall(t *testing.T) {
+	fixture := start(t)
+	var mutex sync.Mutex
+	watches := false
+	fixture.store.Watches = func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return watches
+	}
+	fixture.put(t, "homes/s", 1, "")
+	fixture.run(t)
+	for range 20 {
+		fixture.clock.Advance(time.Second)
+	}
+	assert.Equal(t, fixture.Counters().Calls[standin.List], uint64(0))
+	mutex.Lock()
+	watches = true
+	mutex.Unlock()
+	fixture.await(t, "homes/s", 1)
+}
+
+// Guards against a lost answer that is reported as a failure, a conflict that
+// leaves the newer version unknown, and a write that is sent blindly again.
+func TestPutReadsBack(t *testing.T) {
+	fixture, ctx := start(t), t.Context()
+	fixture.LoseAnswers(1)
+	version, err := fixture.store.Put(ctx, "groups/g", value(1, "a"), "")
+	assert.NilError(t, err)
+	assert.Equal(t, fixture.Counters().Calls[standin.Put], uint64(1))
+	again, err := fixture.store.Put(ctx, "groups/g", value(1, "a"), "")
+	assert.NilError(t, err)
+	assert.Equal(t, again, version)
+	other, err := fixture.client.Put(ctx, "groups/g", value(2, "b"), version)
+	assert.NilError(t, err)
+	_, err = fixture.store.Put(ctx, "groups/g", value(2, "c"), version)
+	assert.Assert(t, errors.Is(err, platformer.ErrConflict))
+	object, ok := fixture.store.Get("groups/g")
+	assert.Assert(t, ok)
+	assert.Equal(t, object.Version, other)
+	_, err = fixture.store.Put(ctx, "groups/g", value(2, "d"), other)
+	assert.Assert(t, errors.Is(err, platformer.ErrConflict), "revision does not rise")
+	_, err = fixture.store.Put(ctx, "groups/g", []byte("{}"), other)
+	assert.ErrorContains(t, err, "no revision")
+}
+
+// Guards against an unknown outcome that is reported as a definite one.
+func TestPutDuringAnOutage(t *testing.T) {
+	fixture := start(t)
+	fixture.store.Clock = clocker.System{}
+	fixture.SetOutage(standin.Outage{Mode: standin.Refuse})
+	_, err := fixture.store.Put(t.Context(), "groups/g", value(1, "a"), "")
+	assert.ErrorContains(t, err, "outcome is unknown")
+	assert.Assert(t, !errors.Is(err, platformer.ErrConflict))
+	fixture.SetOutage(standin.Outage{})
+	fixture.SetSettings(standin.Settings{WriteRate: 1e-9})
+	_, err = fixture.store.Put(t.Context(), "groups/g", value(1, "a"), "")
+	assert.NilError(t, err)
+	_, err = fixture.store.Put(t.Context(), "groups/h", value(1, "a"), "")
+	assert.Assert(t, errors.Is(err, platformer.ErrRateLimited))
+}
+
+// Guards against a document that is in force late, in part, or not at all on
+// the way from an editor to the store of a VM, also when the new index refers to
+// an old body that only the platform still has.
+func TestDocumentReachesTheFollower(t *testing.T) {
+	fixture := start(t)
+	var documents configurer.Store
+	follower := configurer.Follower{Objects: fixture.store, Store: &documents}
+	fixture.run(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return follower.Run(ctx) })
+	editor := configurer.Editor{API: fixture.client, Clock: clocker.System{}}
+	for revision, team := range []string{"one", "two", "one"} {
+		body := fmt.Appendf(nil, `{"team":%q}`, team)
+		result, err := editor.Apply(ctx, "s", body, uint64(revision))
+		assert.NilError(t, err)
+		assert.Equal(t, result.Revision, uint64(revision+1))
+		fixture.advance(t, 100*time.Millisecond, func() bool { return documents.Revision() == result.Revision })
+		assert.Equal(t, documents.Document().Sections["s"].Team, team)
+	}
+	cancel()
+	assert.NilError(t, group.Wait())
+}
