--- a/internal/configurer/index.go
+++ b/internal/configurer/index.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"regexp"
 	"slices"
 )
 
@@ -21,6 +22,8 @@
 	recentWrites = 32
 )
 
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
 // Index is the value of the object config/index.
 type Index struct {
 	Revision uint64                `json:"revision"`
@@ -50,6 +53,11 @@
 	if err := json.Unmarshal(value, &index); err != nil {
 		return Index{}, fmt.Errorf("%s: %w", IndexName, err)
 	}
+	for name, entry := range index.Sections {
+		if entry.Body != "" && !hashPattern.MatchString(entry.Body) {
+			return Index{}, fmt.Errorf("%s: body %.80q of section %q is not a hash", IndexName, entry.Body, name)
+		}
+	}
 	return index, nil
 }
 
--- a/internal/syncer/store_test.go
+++ b/internal/syncer/store_test.go
@@ -224,3 +224,22 @@
 	cancel()
 	assert.NilError(t, group.Wait())
 }
+
+// Guards against an index with a body that the platform does not have, which
+// keeps the watch from bringing the next, complete index.
+func TestIndexWithALostBody(t *testing.T) {
+	fixture := start(t)
+	encode := func(revision uint64, body string) []byte {
+		return fmt.Appendf(nil, `{"revision":%d,"writeId":"w","sections":{"s":{"body":%q,"revision":1}}}`, revision, body)
+	}
+	lost := configurer.BodyName([]byte("lost"))[len(configurer.BodyPrefix):]
+	version, err := fixture.client.Put(t.Context(), configurer.IndexName, encode(1, lost), "")
+	assert.NilError(t, err)
+	fixture.run(t)
+	fixture.advance(t, 100*time.Millisecond, func() bool { return fixture.Counters().Calls[standin.Get] >= 2 })
+	version, err = fixture.client.Put(t.Context(), configurer.IndexName, encode(2, "../../x"), version)
+	assert.NilError(t, err)
+	_, err = fixture.client.Put(t.Context(), configurer.IndexName, encode(3, ""), version)
+	assert.NilError(t, err)
+	fixture.await(t, configurer.IndexName, 3)
+}
--- a/internal/syncer/watch.go
+++ b/internal/syncer/watch.go
@@ -87,15 +87,14 @@
 }
 
 func (watcher *watcher) step(ctx context.Context) error {
+	var missing error
 	if watcher.prefix == ConfigPrefix {
-		if err := watcher.store.readMissing(ctx); err != nil {
-			return err
-		}
+		missing = watcher.store.readMissing(ctx)
 	}
 	clock := watcher.store.Clock
 	if watcher.listed && clock.Now().Before(watcher.relistAt) {
 		wait := watchTimeout
-		if watcher.retry > firstRetry {
+		if watcher.retry > firstRetry || missing != nil {
 			wait = 0 // shows at once whether the platform is back
 		}
 		objects, sequence, err := watcher.store.API.Watch(ctx, watcher.prefix, watcher.sequence, wait)
@@ -107,7 +106,7 @@
 		}
 		watcher.store.mergeAll(objects)
 		watcher.sequence = sequence
-		return nil
+		return missing
 	}
 	objects, sequence, err := watcher.store.API.List(ctx, watcher.listPrefix())
 	if err != nil {
@@ -116,7 +115,7 @@
 	watcher.store.mergeAll(objects)
 	watcher.sequence, watcher.listed = sequence, true
 	watcher.relistAt = clock.Now().Add(relistInterval/2 + rand.N(relistInterval))
-	return nil
+	return missing
 }
 
 // listPrefix leaves out section bodies: the platform keeps all that ever were,
@@ -128,22 +127,22 @@
 	return watcher.prefix
 }
 
-// readMissing reads the bodies that pending indexes lack.
+// readMissing reads the bodies that pending indexes lack. A body that cannot be
+// read does not keep the others or a newer index from being read.
 func (store *Store) readMissing(ctx context.Context) error {
 	store.mutex.RLock()
 	names := store.bodies.missing()
 	store.mutex.RUnlock()
+	var failure error
 	for _, name := range names {
 		object, err := store.API.Get(ctx, name)
-		if errors.Is(err, platformer.ErrNotFound) {
-			continue // must not keep the watch from bringing a newer index
-		}
 		if err != nil {
-			return err
+			failure = err
+			continue
 		}
 		store.mergeAll([]platformer.Object{object})
 	}
-	return nil
+	return failure
 }
 
 // noteHealth counts failures, and records when the platform's state changes.
@@ -155,7 +154,7 @@
 	before := len(store.failing)
 	if err == nil {
 		delete(store.failing, prefix)
-	} else if !errors.Is(err, platformer.ErrSequenceGone) {
+	} else if !errors.Is(err, platformer.ErrSequenceGone) && !errors.Is(err, platformer.ErrNotFound) {
 		store.failing[prefix] = true
 	}
 	after := len(store.failing)
