Wire the daemon: the whole path serves requests

Cause: the parts existed without a process that runs them.

Change: the daemon's wiring by fx, heartbeats and the forming of groups in a first, simple version, status and owners for operators.

Ruled out: embedding fx.In in the daemon; dig refuses to provide such a type, and it only showed when the daemon started. Naming the settings' check Validate; kong calls it before the defaults are filled in.

Before: no request was served.

Candidates are not replaced yet.

--- a/internal/homer/homer.go
+++ b/internal/homer/homer.go
@@ -30,7 +30,7 @@
 type Homer struct {
 	Clock    clocker.Clock
 	Objects  Objects
-	Document func() configurer.Document
+	Document func() *configurer.Document
 	// Turn is this VM's place in the order of live VMs. VMs act one after the
 	// other, so that they rarely race; the conditional update decides if they do.
 	Turn     func() int
--- /dev/null
+++ b/internal/starter/parts.go
@@ -0,0 +1,143 @@
+package starter
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/fx"
+
+	"github.com/cuminstream/cuminstream/internal/asserter"
+	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/dispatcher"
+	"github.com/cuminstream/cuminstream/internal/homer"
+	"github.com/cuminstream/cuminstream/internal/linker"
+	"github.com/cuminstream/cuminstream/internal/locator"
+	"github.com/cuminstream/cuminstream/internal/operator"
+	"github.com/cuminstream/cuminstream/internal/platformer"
+	"github.com/cuminstream/cuminstream/internal/router"
+	"github.com/cuminstream/cuminstream/internal/syncer"
+	"github.com/cuminstream/cuminstream/internal/timeliner"
+	"github.com/cuminstream/cuminstream/internal/upstreamer"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/tracker"
+)
+
+// options wires the daemon's parts.
+func options(settings Settings) fx.Option {
+	return fx.Options(
+		fx.Supply(settings),
+		fx.Provide(
+			func() clocker.Clock { return clocker.System{} },
+			newRegistry, newRecorder, newPlatform, newStore, newTracker, newServer, newPool, newHomer, newUpstreams,
+			newRouter, newOperator, newMembers, newPulse, newDaemon,
+			func(store *syncer.Store, pool *linker.Pool) *exchange { return newExchange(store, pool) },
+			func() *configurer.Store { return &configurer.Store{} },
+			locator.New,
+			func(locator *locator.Locator) *router.Registry { return &router.Registry{Locator: locator} },
+			func(registry *prometheus.Registry) *router.Metrics { return router.NewMetrics(registry) },
+		),
+		fx.Invoke(register),
+	)
+}
+
+func newRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(asserter.Failures, configurer.RevisionInForce, configurer.Unusable, syncer.Merges, syncer.WatchFailures)
+	registry.MustRegister(dispatcher.Collectors()...)
+	return registry
+}
+
+func newRecorder(settings Settings, clock clocker.Clock) *timeliner.Recorder {
+	return timeliner.New(clock, settings.Name)
+}
+
+func newPlatform(settings Settings, clock clocker.Clock) (platformer.API, error) {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	return platformer.NewClient(settings.Platform, clock, transport)
+}
+
+func newStore(api platformer.API, clock clocker.Clock, recorder *timeliner.Recorder) *syncer.Store {
+	store := syncer.New(api, clock)
+	store.Recorder = recorder
+	return store
+}
+
+func newTracker(settings Settings, clock clocker.Clock) *tracker.Tracker {
+	return tracker.New(tracker.Config{
+		Self: settings.Name, Clock: clock, Heartbeat: settings.Heartbeat, Suspicion: settings.Suspicion,
+	})
+}
+
+func newServer(settings Settings, clock clocker.Clock, registry *router.Registry, metrics *prometheus.Registry) *linker.Server {
+	counters := linker.NewMetrics()
+	metrics.MustRegister(counters)
+	return &linker.Server{
+		VM: settings.Name, Key: []byte(settings.SharedKey), Handler: registry, Clock: clock, Metrics: counters,
+		ShutdownTimeout: settings.StopTimeout,
+	}
+}
+
+func newPool(settings Settings, clock clocker.Clock, server *linker.Server, tracker *tracker.Tracker) *linker.Pool {
+	return &linker.Pool{
+		VM: settings.Name, Key: []byte(settings.SharedKey), Directory: directory{tracker}, Local: server, Clock: clock, Metrics: server.Metrics,
+	}
+}
+
+// directory finds the addresses of VMs in the tracker.
+type directory struct{ tracker *tracker.Tracker }
+
+// LinkAddress implements linker.Directory.
+func (directory directory) LinkAddress(vm string) (string, bool) {
+	member, ok := directory.tracker.Snapshot().Member(vm)
+	return member.Address, ok && member.Address != ""
+}
+
+// Alive implements router.Liveness.
+func (directory directory) Alive(vm string) bool {
+	member, ok := directory.tracker.Snapshot().Member(vm)
+	return ok && (member.State == tracker.Alive || member.State == tracker.Leaving)
+}
+
+func newHomer(clock clocker.Clock, store *syncer.Store, documents *configurer.Store, pulse *pulse, recorder *timeliner.Recorder) *homer.Homer {
+	return &homer.Homer{
+		Clock: clock, Objects: store, Document: documents.Document, Turn: pulse.turn, Recorder: recorder,
+	}
+}
+
+func newUpstreams(clock clocker.Clock) *upstreamer.Client { return upstreamer.New(clock) }
+
+// documents matches requests against the newest document.
+type documents struct{ store *configurer.Store }
+
+// Match implements router.Matcher.
+func (documents documents) Match(host, path, method string) (*configurer.Match, bool) {
+	return documents.store.Document().Match(host, path, method)
+}
+
+func newRouter(settings Settings, clock clocker.Clock, store *configurer.Store, places *locator.Locator, registry *router.Registry,
+	pool *linker.Pool, tracked *tracker.Tracker, metrics *router.Metrics,
+) *router.Router {
+	return &router.Router{
+		Clock: clock, VM: settings.Name, Matcher: documents{store}, Locator: places, Local: registry, Forwarder: pool,
+		Liveness: directory{tracked}, Takeover: takeoverBound, Metrics: metrics,
+	}
+}
+
+func newOperator(settings Settings, members *members, pulse *pulse, recorder *timeliner.Recorder, pool *linker.Pool, registry *prometheus.Registry) *operator.Server {
+	return &operator.Server{
+		VM: settings.Name, Status: members.status, Owners: members.owners, Peers: pulse.peers, Ready: members.ready,
+		Recorder: recorder, Caller: pool, Gatherer: registry,
+	}
+}
+
+// register attaches the daemon to the life cycle.
+func register(life fx.Lifecycle, daemon *daemon) {
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error { return daemon.start() },
+		OnStop:  daemon.stop,
+	})
+}
--- /dev/null
+++ b/internal/starter/refusals.go
@@ -0,0 +1,34 @@
+package starter
+
+import (
+	"github.com/cuminstream/cuminstream/pkg/answerer"
+	"github.com/cuminstream/cuminstream/pkg/queuer"
+)
+
+func rankName(rank int) string { return queuer.Rank(rank).String() }
+
+// refusals returns the number of answers of each error kind since the start.
+func (members *members) refusals() map[string]float64 {
+	known := map[string]bool{}
+	for _, kind := range answerer.Kinds() {
+		known[string(kind)] = true
+	}
+	counts := map[string]float64{}
+	families, err := members.metrics.Gather()
+	if err != nil {
+		return counts
+	}
+	for _, family := range families {
+		if family.GetName() != "cuminstream_router_requests_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			for _, label := range metric.GetLabel() {
+				if label.GetName() == "result" && known[label.GetValue()] {
+					counts[label.GetValue()] += metric.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return counts
+}
--- a/internal/starter/settings.go
+++ b/internal/starter/settings.go
@@ -62,8 +62,9 @@
 	return settings
 }
 
-// Validate checks all settings together and returns every fault.
-func (settings Settings) Validate() error {
+// Check checks all settings together and returns every fault. It is not named
+// Validate because kong would call it before the defaults are filled in.
+func (settings Settings) Check() error {
 	var faults []error
 	add := func(setting, format string, args ...any) {
 		faults = append(faults, fmt.Errorf("--%s: %w", setting, fmt.Errorf(format, args...)))
--- a/internal/starter/starter.go
+++ b/internal/starter/starter.go
@@ -28,7 +28,7 @@
 	var settings Settings
 	parser := kong.Parse(&settings, kong.Name("cuminstreamd"), kong.Description(description))
 	settings = settings.WithDefaults()
-	parser.FatalIfErrorf(settings.Validate())
+	parser.FatalIfErrorf(settings.Check())
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: settings.LogLevel})).With("vm", settings.Name))
 	if err := run(settings); err != nil {
 		slog.Error("stopped after a failure", "error", err)
