Give each process of the launcher its own port

Cause: the demo waited for an upstream whose port the kernel had already offered to a VM that had not bound it yet.

Ruled out: a fault of the stand-in; its log showed the address in use.

Change: the launcher remembers the addresses that it has returned. The demo edits the section of the service, because key rules belong to it.

Conclusion: ports are unique within one launcher.

--- a/internal/standin/demonstrator/steps.go
+++ b/internal/standin/demonstrator/steps.go
@@ -9,10 +9,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"time"
 
+	"github.com/cuminstream/cuminstream/internal/configurer"
 	"github.com/cuminstream/cuminstream/internal/operator"
 	"github.com/cuminstream/cuminstream/pkg/answerer"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
@@ -96,8 +99,8 @@
 		return err
 	}
 	target := sibling(before.Upstream)
-	body := fmt.Sprintf(`{"team":"rates","keys":[{"service":"quotes","key":%q,"upstream":%q,"hot":true}]}`, key, target)
-	if err := demo.applyText(ctx, "hot-keys", body); err != nil {
+	rule := configurer.KeyRule{Service: "quotes", Key: key, Upstream: target, Hot: true}
+	if err := demo.editSection(ctx, "quotes", "keys", []configurer.KeyRule{rule}); err != nil {
 		return err
 	}
 	for began := clock.Now(); ; {
@@ -120,12 +123,35 @@
 	return demo.report(ctx, "the move", 0)
 }
 
-func (demo *demo) applyText(ctx context.Context, section, body string) error {
-	command := exec.CommandContext(ctx, filepath.Join(demo.flags.Programs, "cuminstream"), "apply", section, "-", "--platform", demo.fleet.Platform)
-	command.Stdin = bytes.NewReader([]byte(body))
-	command.Stdout, command.Stderr = demo.output, demo.output
-	fmt.Fprintf(demo.output, "$ cuminstream apply %s - <<< '%s'\n", section, body)
-	return command.Run()
+// editSection replaces one field of a section, as an operator does with get and
+// apply.
+func (demo *demo) editSection(ctx context.Context, section, field string, value any) error {
+	fmt.Fprintf(demo.output, "$ cuminstream get %s > %s.json\n", section, section)
+	command := exec.CommandContext(ctx, filepath.Join(demo.flags.Programs, "cuminstream"), "get", section, "--platform", demo.fleet.Platform)
+	var notes bytes.Buffer
+	command.Stderr = &notes
+	body, err := command.Output()
+	if err != nil {
+		return fmt.Errorf("get %s: %w: %s", section, err, notes.Bytes())
+	}
+	var revision int
+	if _, err := fmt.Sscanf(notes.String(), "revision %d", &revision); err != nil {
+		return fmt.Errorf("revision of section %s: %w", section, err)
+	}
+	fields := map[string]any{}
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return fmt.Errorf("section %s: %w", section, err)
+	}
+	fields[field] = value
+	changed, err := json.MarshalIndent(fields, "", "  ")
+	if err != nil {
+		return fmt.Errorf("section %s: %w", section, err)
+	}
+	file := filepath.Join(demo.fleet.Directory, section+".json")
+	if err := os.WriteFile(file, changed, 0o600); err != nil {
+		return fmt.Errorf("section %s: %w", section, err)
+	}
+	return demo.cli(ctx, "apply", section, file, "--base", strconv.Itoa(revision))
 }
 
 // report waits until the effects of an event are over and prints for how long
--- a/internal/standin/launcher/fleet.go
+++ b/internal/standin/launcher/fleet.go
@@ -53,8 +53,34 @@
 	return &Fleet{Programs: programs, Directory: directory, SharedKey: "loopback-only-shared-key", processes: map[string]*Process{}}, nil
 }
 
-// Address returns a loopback address whose port is free at the moment.
+// given holds the addresses that Address has returned. The kernel may offer a
+// port again before the process that it was given to has bound it.
+var given struct {
+	mutex     sync.Mutex
+	addresses map[string]bool
+}
+
+// Address returns a loopback address whose port is free at the moment and was
+// not returned before.
 func Address() (string, error) {
+	given.mutex.Lock()
+	defer given.mutex.Unlock()
+	if given.addresses == nil {
+		given.addresses = map[string]bool{}
+	}
+	for {
+		address, err := freeAddress()
+		if err != nil {
+			return "", err
+		}
+		if !given.addresses[address] {
+			given.addresses[address] = true
+			return address, nil
+		}
+	}
+}
+
+func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("free port: %w", err)
