--- a/internal/replicator/answer.go
+++ b/internal/replicator/answer.go
@@ -37,7 +37,7 @@
 	} else {
 		handle(&reply)
 	}
-	reply.Synchronized = group.synchronized
+	reply.Synchronized, reply.Complete = group.synchronized, group.complete
 	group.mutex.Unlock()
 	group.announce(adopted)
 	return reply, nil
@@ -135,10 +135,17 @@
 	progress.next++
 	now := group.Clock.Now()
 	group.store.applyPage(now, call.Page)
-	if !call.Last || group.synchronized {
+	if !call.Last {
+		return
+	}
+	fresh := !group.synchronized
+	group.synchronized, group.complete = true, true
+	if !slices.Contains(group.record.members(), group.VM) {
+		group.invitedAt = group.record.Revision
+	}
+	if !fresh {
 		return
 	}
-	group.synchronized = true
 	if call.Founding {
 		group.quietSince = now.Add(-group.Timing.Suspicion)
 	}
@@ -147,7 +154,8 @@
 
 func (group *Group) answerRelease(from string, call *releaseCall, reply *reply) {
 	promised, _, stood := group.voter.Promised()
-	if !group.voter.Release(call.Term, from) {
+	group.voter.Release(call.Term, from)
+	if call.Term < group.voter.Term() {
 		reply.Higher = group.voter.Term()
 		return
 	}
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -224,7 +224,7 @@
 				return
 			}
 			for ctx.Err() == nil && !count.complete() {
-				if wasRead && tenure.copyAll(vm, missing) || !wasRead && tenure.restore(ctx, vm) {
+				if wasRead && tenure.copyAll(vm, missing) || !wasRead && tenure.restoreKnown(ctx, vm) {
 					count.add(vm)
 					return
 				}
@@ -240,6 +240,12 @@
 	return nil
 }
 
+// restoreKnown sends the whole state to a candidate that has answered before.
+func (tenure *tenure) restoreKnown(ctx context.Context, vm string) bool {
+	incarnation, ok := tenure.incarnationOf(vm)
+	return ok && tenure.restore(ctx, vm, incarnation)
+}
+
 // copyAll sends the changes to vm in order.
 func (tenure *tenure) copyAll(vm string, changes []Entries) bool {
 	for _, entries := range changes {
--- a/internal/replicator/group.go
+++ b/internal/replicator/group.go
@@ -45,22 +45,28 @@
 	incarnation uint64
 	attempts    uint64
 
-	mutex        sync.Mutex
-	record       Record
-	voter        *leaser.Voter
-	store        *store
+	mutex  sync.Mutex
+	record Record
+	voter  *leaser.Voter
+	store  *store
+	// synchronized is set when this VM's copy counts in a quorum, complete when
+	// it also holds what was copied before this VM joined.
 	synchronized bool
-	restore      restoreProgress
-	tenure       *tenure   // the lease that this VM asks for or holds
-	quietSince   time.Time // when a holder or a candidate for it was heard last
-	heardAt      time.Time // when a serving holder was heard last
-	holderVM     string
-	holderTerm   uint64
-	higher       uint64 // highest term that another candidate has named
-	retryAt      time.Time
-	urgent       bool // named as successor
-	retired      bool // the VM stops and does not become holder again
-	lastTerm     uint64
+	complete     bool
+	// invitedAt is the revision of the record under which the holder has
+	// restored this VM before it became a candidate.
+	invitedAt  uint64
+	restore    restoreProgress
+	tenure     *tenure   // the lease that this VM asks for or holds
+	quietSince time.Time // when a holder or a candidate for it was heard last
+	heardAt    time.Time // when a serving holder was heard last
+	holderVM   string
+	holderTerm uint64
+	higher     uint64 // highest term that another candidate has named
+	retryAt    time.Time
+	urgent     bool // named as successor
+	retired    bool // the VM stops and does not become holder again
+	lastTerm   uint64
 }
 
 // restoreProgress is the sequence of pages that is being received.
@@ -211,9 +217,9 @@
 		return nil
 	}
 	formedAnew := record.BaseTerm != group.record.BaseTerm
+	group.keepSynchronized(record, formedAnew)
 	group.record = record
 	if formedAnew {
-		group.synchronized = false
 		group.holderVM = ""
 	}
 	if tenure := group.tenure; tenure != nil {
@@ -227,6 +233,24 @@
 	return &record
 }
 
+// keepSynchronized decides whether this VM's copy counts under the new record.
+// A VM that joins counts at once if the holder has restored it while it held the
+// lease under the record before: nothing can have been copied to it under the
+// new record and then been forgotten, and what was copied earlier is covered by
+// the previous list. When that list is cleared, only a complete copy counts.
+func (group *Group) keepSynchronized(record Record, formedAnew bool) {
+	members := record.members()
+	switch {
+	case formedAnew || !slices.Contains(members, group.VM):
+		group.synchronized, group.invitedAt = false, 0
+	case record.joining(group.VM):
+		group.synchronized = group.invitedAt > 0 && record.Revision == group.invitedAt+1
+		group.complete, group.invitedAt = false, 0
+	case !slices.Contains(group.record.members(), group.VM) || !group.complete:
+		group.synchronized = false
+	}
+}
+
 // note records an event of the group.
 func (group *Group) note(kind string, term uint64, detail string) {
 	group.Recorder.Record(timeliner.Event{Kind: kind, Group: group.ID, Term: term, Detail: detail})
--- a/internal/replicator/messages.go
+++ b/internal/replicator/messages.go
@@ -45,6 +45,8 @@
 	// Holding is set once the sender serves the group, so that its voters can
 	// name it to routers.
 	Holding bool `cbor:"holding"`
+	// Invited is set for a VM that is to become a candidate.
+	Invited bool `cbor:"invited"`
 }
 
 type copyCall struct {
@@ -100,6 +102,7 @@
 	Record       *Record `cbor:"record,omitempty"`
 	Incarnation  uint64  `cbor:"incarnation"`
 	Synchronized bool    `cbor:"synchronized"`
+	Complete     bool    `cbor:"complete"`
 }
 
 type snapshotReply struct {
@@ -128,6 +131,11 @@
 	return members
 }
 
+// joining reports whether vm takes the place of a previous candidate.
+func (record Record) joining(vm string) bool {
+	return len(record.Previous) > 0 && slices.Contains(record.Candidates, vm) && !slices.Contains(record.Previous, vm)
+}
+
 // lists returns the lists of which a quorum each is needed.
 func (record Record) lists() [][]string { return [][]string{record.Candidates, record.Previous} }
 
--- a/internal/replicator/restore.go
+++ b/internal/replicator/restore.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/leaser"
 )
 
 // restoreLater sends the whole state to a candidate that has restarted or
 // joined, unless that is already being done.
-func (tenure *tenure) restoreLater(vm string) {
+func (tenure *tenure) restoreLater(vm string, incarnation uint64) {
 	tenure.mutex.Lock()
 	known := tenure.peers[vm]
 	start := known != nil && !known.restoring
@@ -20,7 +22,7 @@
 		return
 	}
 	tenure.spawn(func() {
-		if tenure.restore(tenure.ctx, vm) {
+		if tenure.restore(tenure.ctx, vm, incarnation) {
 			tenure.group.note("candidateSynchronized", tenure.Term(), vm)
 		}
 		tenure.mutex.Lock()
@@ -32,12 +34,8 @@
 // restore sends the whole state to vm, page by page. The state of a holder
 // includes every entry that a majority has stored; entries that follow while the
 // pages are sent are copied to vm as usual.
-func (tenure *tenure) restore(ctx context.Context, vm string) bool {
+func (tenure *tenure) restore(ctx context.Context, vm string, incarnation uint64) bool {
 	group := tenure.group
-	incarnation, ok := tenure.incarnationOf(vm)
-	if !ok {
-		return false
-	}
 	group.mutex.Lock()
 	group.attempts++
 	attempt := group.attempts
@@ -80,3 +78,86 @@
 	}
 	return false
 }
+
+// Settled reports whether the previous list may be cleared: this VM serves, the
+// new candidates are synchronized, and a synchronized majority of the previous
+// list knows the record, so that an older one cannot elect anyone.
+func (group *Group) Settled() bool {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	tenure := group.tenure
+	if tenure == nil || tenure.phase != serving {
+		return false
+	}
+	if _, ok := tenure.Valid(); !ok {
+		return false
+	}
+	record := group.record
+	tenure.mutex.Lock()
+	defer tenure.mutex.Unlock()
+	informed := func(vm string) bool {
+		known := tenure.peers[vm]
+		return vm == group.VM || known != nil && known.synchronized && known.complete && known.revision == record.Revision
+	}
+	for _, vm := range record.Candidates {
+		if !slices.Contains(record.Previous, vm) && !informed(vm) {
+			return false
+		}
+	}
+	return leaser.MajorityOfEach(record.lists(), informed)
+}
+
+// Invite makes a VM that is not a candidate ready to become one, if this VM
+// serves. The invitation ends with the lease or with Disinvite.
+func (group *Group) Invite(vm string) {
+	group.mutex.Lock()
+	tenure := group.tenure
+	group.mutex.Unlock()
+	if tenure != nil {
+		tenure.mutex.Lock()
+		tenure.invited[vm] = true
+		tenure.mutex.Unlock()
+	}
+}
+
+// Disinvite takes all invitations back.
+func (group *Group) Disinvite() {
+	group.mutex.Lock()
+	tenure := group.tenure
+	group.mutex.Unlock()
+	if tenure != nil {
+		tenure.mutex.Lock()
+		clear(tenure.invited)
+		tenure.mutex.Unlock()
+	}
+}
+
+// Ready reports whether an invited VM has the state and has given a promise
+// lately, so that the record may name it as a candidate.
+func (group *Group) Ready(vm string) bool {
+	group.mutex.Lock()
+	tenure, revision := group.tenure, group.record.Revision
+	group.mutex.Unlock()
+	if tenure == nil {
+		return false
+	}
+	tenure.mutex.Lock()
+	defer tenure.mutex.Unlock()
+	known := tenure.peers[vm]
+	return known != nil && known.synchronized && known.revision == revision &&
+		group.Clock.Now().Sub(known.answered) < group.Timing.Suspicion
+}
+
+// guests returns the invited VMs that are no candidates.
+func (tenure *tenure) guests() []string {
+	members := tenure.group.Newest().members()
+	tenure.mutex.Lock()
+	defer tenure.mutex.Unlock()
+	var guests []string
+	for vm := range tenure.invited {
+		if !slices.Contains(members, vm) {
+			guests = append(guests, vm)
+		}
+	}
+	return guests
+}
--- a/internal/replicator/tenure.go
+++ b/internal/replicator/tenure.go
@@ -41,12 +41,16 @@
 	mutex  sync.Mutex // guards the fields below; taken after group.mutex
 	closed bool
 	peers  map[string]*peer
+	// invited names VMs that are to become candidates. They are restored and
+	// give promises, so that neither is missing when the record changes.
+	invited map[string]bool
 }
 
 // peer is what the holder knows of another candidate.
 type peer struct {
 	incarnation  uint64
 	synchronized bool
+	complete     bool
 	revision     uint64 // of the record under which it last renewed its promise
 	answered     time.Time
 	restoring    bool
@@ -57,7 +61,7 @@
 		group:   group,
 		holder:  leaser.NewHolder(group.Clock, group.Timing, term, group.record.lists()...),
 		changed: make(chan struct{}, 1), renewal: make(chan struct{}, 1),
-		peers: map[string]*peer{},
+		peers: map[string]*peer{}, invited: map[string]bool{},
 	}
 	tenure.ctx, tenure.cancel = context.WithCancelCause(ctx)
 	return tenure
@@ -154,8 +158,8 @@
 	defer ticker.Stop()
 	for {
 		tenure.promiseSelf()
-		for _, vm := range tenure.others() {
-			tenure.spawn(func() { tenure.ask(vm) })
+		for _, vm := range append(tenure.others(), tenure.guests()...) {
+			tenure.spawn(func() { _, _ = tenure.ask(vm) })
 		}
 		select {
 		case <-tenure.ctx.Done():
@@ -191,7 +195,7 @@
 	group.mutex.Lock()
 	call := promiseCall{
 		header:  header{Group: group.ID, Record: group.record, Term: tenure.Term()},
-		Holding: tenure.phase == serving,
+		Holding: tenure.phase == serving, Invited: !slices.Contains(group.record.members(), vm),
 	}
 	group.mutex.Unlock()
 	sent := group.Clock.Now()
@@ -207,8 +211,10 @@
 	if answer.Higher > tenure.Term() {
 		tenure.lose("a candidate knows a higher term")
 	}
-	if !answer.Synchronized && call.Holding {
-		tenure.restoreLater(vm)
+	// An invited VM is restored only by a holder whose lease still holds after
+	// its incarnation was learned; see Group.keepSynchronized.
+	if _, valid := tenure.Valid(); valid && call.Holding && (!answer.Synchronized || !answer.Complete) {
+		tenure.restoreLater(vm, answer.Incarnation)
 	}
 	return answer, nil
 }
@@ -222,7 +228,7 @@
 		known = &peer{}
 		tenure.peers[vm] = known
 	}
-	known.incarnation, known.synchronized = answer.Incarnation, answer.Synchronized
+	known.incarnation, known.synchronized, known.complete = answer.Incarnation, answer.Synchronized, answer.Complete
 	known.answered = tenure.group.Clock.Now()
 	if answer.OK {
 		known.revision = revision
--- a/pkg/leaser/voter.go
+++ b/pkg/leaser/voter.go
@@ -14,11 +14,11 @@
 	clock    clocker.Clock
 	timing   Timing
 	ready    time.Time
-	term     uint64    // highest term promised or observed
-	owner    string    // holder of that term, empty when it was only observed
-	released bool      // the term was given back and is not promised again
-	promised string    // holder of the promise that lasts until the time below
-	until    time.Time // by this voter's clock
+	term     uint64            // highest term promised or observed
+	owner    string            // holder of that term, empty when it was only observed
+	released map[string]uint64 // highest term that each holder has given back
+	promised string            // holder of the promise that lasts until the time below
+	until    time.Time         // by this voter's clock
 }
 
 // Answer is a voter's reply to a request for a promise.
@@ -33,7 +33,10 @@
 
 // NewVoter returns a voter that gives promises once Lease+Margin have passed.
 func NewVoter(clock clocker.Clock, timing Timing) *Voter {
-	return &Voter{clock: clock, timing: timing, ready: clock.Now().Add(timing.Lease + timing.Margin)}
+	return &Voter{
+		clock: clock, timing: timing, released: map[string]uint64{},
+		ready: clock.Now().Add(timing.Lease + timing.Margin),
+	}
 }
 
 // Promise gives or renews the promise of the term to the holder, for Lease from
@@ -45,32 +48,32 @@
 	if wait := voter.ready.Sub(now); wait > 0 {
 		return Answer{Wait: wait}
 	}
-	if term < voter.term || term == voter.term && (voter.released || voter.owner != "" && voter.owner != holder) {
+	if term < voter.term || term == voter.term && voter.owner != "" && voter.owner != holder {
 		return Answer{Higher: voter.term}
 	}
+	if released := voter.released[holder]; term <= released {
+		return Answer{Higher: released}
+	}
 	if wait := voter.until.Sub(now); wait > 0 && voter.promised != holder {
 		return Answer{Wait: wait}
 	}
-	if term > voter.term {
-		voter.term, voter.released = term, false
-	}
-	voter.owner, voter.promised, voter.until = holder, holder, now.Add(voter.timing.Lease)
+	voter.term, voter.owner, voter.promised, voter.until = term, holder, holder, now.Add(voter.timing.Lease)
 	return Answer{Granted: true}
 }
 
-// Release ends the promise of the term. The term is not promised again, so that
-// a request that arrives late does not block the successor. It reports false
-// when the term is not the holder's, or when a promise to another holder
-// stands.
+// Release ends the promise of the term, if it stands. The term is not promised
+// to this holder again, so that a request that arrives late does not block the
+// successor. It does not raise the voter's term: a candidate that has asked in
+// vain must not end the lease of the present holder. It reports whether the
+// voter's term was the released one.
 func (voter *Voter) Release(term uint64, holder string) bool {
-	stands := voter.until.After(voter.clock.Now())
-	switch {
-	case term < voter.term, stands && voter.promised != holder:
-		return false
-	case term == voter.term && voter.owner != "" && voter.owner != holder:
+	voter.released[holder] = max(voter.released[holder], term)
+	if term != voter.term || voter.owner != holder {
 		return false
 	}
-	voter.term, voter.owner, voter.released, voter.until = term, holder, true, time.Time{}
+	if voter.promised == holder {
+		voter.until = time.Time{}
+	}
 	return true
 }
 
@@ -79,7 +82,7 @@
 // a higher term.
 func (voter *Voter) Observe(term uint64) bool {
 	if term > voter.term {
-		voter.term, voter.owner, voter.released = term, "", false
+		voter.term, voter.owner = term, ""
 	}
 	return term == voter.term
 }
