Add the manager that forms groups and keeps their records

Cause: nobody wrote the records groups/<id>, so that no group existed outside the tests.

Change: replicator.Manager starts and stops the groups of a VM as the records say, forms groups whose record does not exist, replaces candidates that are dead for 3 s or leaving, fills up short lists, forms a group anew when no quorum of its candidates is left, and releases all groups for a planned stop. A write is identified by its writeId and read back after a lost answer. The writer of a new record first notes the incarnations of the candidates and then sends the first state to exactly these: one that restarted in between may have been restored by a holder and have forgotten entries. Before a group is formed anew, a majority of the former candidates must know the new record or be gone, and one lease must have passed.

Ruled out: letting candidates of a new record count as synchronized without a founder, because a restarted candidate cannot be told from a new one.

--- a/internal/replicator/answer.go
+++ b/internal/replicator/answer.go
@@ -116,7 +116,9 @@
 	if !call.Founding && !slices.Contains(group.record.Candidates, from) {
 		return
 	}
-	if !group.voter.Observe(call.Term) {
+	// The first state has the lowest term of the record; a candidate that has
+	// received it may already have asked for a higher one.
+	if !group.voter.Observe(call.Term) && !call.Founding {
 		reply.Higher = group.voter.Term()
 		return
 	}
--- /dev/null
+++ b/internal/replicator/calls.go
@@ -0,0 +1,115 @@
+package replicator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/linker"
+)
+
+// Register adds the handlers of the control calls.
+func (manager *Manager) Register(registrar linker.Registrar) {
+	for _, method := range Methods() {
+		registrar.Handle(method, func(ctx context.Context, from string, decode func(any) error) (any, error) {
+			body := newBody(method)
+			if err := decode(body); err != nil {
+				return nil, fmt.Errorf("body of call %q: %w", method, err)
+			}
+			return manager.answer(ctx, from, method, body)
+		})
+	}
+}
+
+// addressed is the body of a call about one group.
+type addressed interface {
+	group() string
+	// newest returns the record that the sender knows, if any.
+	newest() *Record
+	// invited reports whether the receiver is to take part without being named
+	// by the record.
+	invited() bool
+}
+
+func (header header) group() string     { return header.Group }
+func (header header) newest() *Record   { return &header.Record }
+func (header header) invited() bool     { return false }
+func (call promiseCall) invited() bool  { return call.Invited }
+func (call holderCall) group() string   { return call.Group }
+func (call holderCall) newest() *Record { return call.Record }
+func (call holderCall) invited() bool   { return false }
+
+// answer hands the call to the group, which is started if the sender knows that
+// this VM belongs to it.
+func (manager *Manager) answer(ctx context.Context, from, method string, body any) (any, error) {
+	call, ok := body.(addressed)
+	if !ok {
+		return nil, fmt.Errorf("method %q is not answered", method)
+	}
+	if record := call.newest(); record != nil && record.ID == call.group() {
+		manager.learn(*record)
+	}
+	group, ok := manager.Group(call.group())
+	if !ok {
+		group = manager.join(call)
+	}
+	if group != nil {
+		return group.Answer(ctx, from, method, body)
+	}
+	if method == methodHolder {
+		record, known := manager.record(call.group())
+		if known {
+			return HolderReply{Record: &record}, nil
+		}
+		return HolderReply{}, nil
+	}
+	return nil, fmt.Errorf("group %s: %w", call.group(), ErrNotMember)
+}
+
+// join starts a group that the newest record places on this VM, or to which the
+// holder has invited it.
+func (manager *Manager) join(call addressed) *Group {
+	manager.mutex.Lock()
+	ready := manager.ctx != nil && !manager.closed && !manager.retired
+	manager.mutex.Unlock()
+	record, known := manager.record(call.group())
+	if !ready || !known || !call.invited() && !slices.Contains(record.members(), manager.VM) {
+		return nil
+	}
+	specs := manager.Specs()
+	index := slices.IndexFunc(specs, func(spec configurer.GroupSpec) bool { return spec.ID == call.group() })
+	if index < 0 {
+		return nil
+	}
+	return manager.start(specs[index], record)
+}
+
+// loopback is a Caller that reaches this VM too.
+type loopback struct{ manager *Manager }
+
+// Call makes a control call to vm.
+func (loopback loopback) Call(ctx context.Context, vm, method string, body, answer any) error {
+	manager := loopback.manager
+	if vm != manager.VM {
+		return manager.Caller.Call(ctx, vm, method, body, answer)
+	}
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	own := newBody(method)
+	if err := cbor.Unmarshal(data, own); err != nil {
+		return err
+	}
+	result, err := manager.answer(ctx, vm, method, own)
+	if err != nil {
+		return err
+	}
+	if data, err = cbor.Marshal(result); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, answer)
+}
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -191,7 +191,7 @@
 		call := snapshotCall{header: tenure.header(), Cursor: cursor}
 		err := group.call(ctx, vm, methodSnapshot, group.Timing.Heartbeat, call, &answer.reply, &answer)
 		if err == nil {
-			tenure.met(vm, answer.reply, call.Record.Revision)
+			tenure.met(vm, answer.reply)
 		}
 		switch {
 		case err == nil && answer.Higher > tenure.Term():
--- a/internal/replicator/formation.go
+++ b/internal/replicator/formation.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -22,13 +21,13 @@
 	timing leaser.Timing
 	caller linker.Caller // reaches this VM too
 	record Record
-	// blocked reports whether a former candidate is known to be gone. It is nil
-	// when the group had no former candidates.
+	former []string // candidates of the record before, if the group is formed anew
+	// blocked reports whether a former candidate is known to be gone.
 	blocked func(vm string) bool
-	former  []string
 
 	mutex        sync.Mutex
 	incarnations map[string]uint64
+	sending      bool // no further incarnations are noted
 }
 
 // found first notes the incarnations of the candidates, and only then sends the
@@ -36,16 +35,21 @@
 // been synchronized by a holder and have forgotten entries, and is therefore
 // left to that holder.
 func (founder *founder) found(ctx context.Context, state State) error {
-	founder.incarnations = map[string]uint64{}
-	if err := founder.visit(ctx); err != nil {
-		return err
+	if founder.incarnations == nil {
+		founder.incarnations = map[string]uint64{}
 	}
-	if founder.blocked != nil {
+	if !founder.sending {
+		if err := founder.visit(ctx); err != nil {
+			return err
+		}
+	}
+	if len(founder.former) > 0 && !founder.sending {
 		// A former holder is refused renewal now; wait until its lease has ended.
 		if err := clocker.Sleep(ctx, founder.clock, founder.timing.Lease+founder.timing.Margin); err != nil {
 			return err
 		}
 	}
+	founder.sending = true
 	var sending errgroup.Group
 	stored := make([]bool, len(founder.record.Candidates))
 	for index, vm := range founder.record.Candidates {
@@ -78,11 +82,15 @@
 	all := Record{Candidates: founder.record.Candidates, Previous: founder.former}
 	done := make(chan struct{})
 	var once sync.Once
+	finish := func() {
+		close(done)
+		cancel() // the holder restores the candidates that have not answered yet
+	}
 	for _, vm := range all.members() {
 		visiting.Go(func() error {
 			for ctx.Err() == nil {
 				if founder.visitOnce(ctx, vm) && founder.informed() {
-					once.Do(func() { close(done) })
+					once.Do(finish)
 					return nil
 				}
 				if founder.knows(vm) {
@@ -148,7 +156,7 @@
 		if err == nil {
 			return answer.OK && answer.Synchronized
 		}
-		if clocker.Sleep(ctx, founder.clock, time.Duration(retryDelay)) != nil {
+		if clocker.Sleep(ctx, founder.clock, retryDelay) != nil {
 			return false
 		}
 	}
--- a/internal/replicator/group.go
+++ b/internal/replicator/group.go
@@ -253,7 +253,11 @@
 
 // note records an event of the group.
 func (group *Group) note(kind string, term uint64, detail string) {
-	group.Recorder.Record(timeliner.Event{Kind: kind, Group: group.ID, Term: term, Detail: detail})
+	group.Recorder.Record(newEvent(kind, group.ID, term, detail))
+}
+
+func newEvent(kind, id string, term uint64, detail string) timeliner.Event {
+	return timeliner.Event{Kind: kind, Group: id, Term: term, Detail: detail}
 }
 
 // call sends body to vm and takes the newer record and the higher term from the
--- /dev/null
+++ b/internal/replicator/manager_test.go
@@ -0,0 +1,428 @@
+package replicator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/platformer"
+	"github.com/cuminstream/cuminstream/internal/timeliner"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+var errDown = errors.New("platform is down")
+
+// fleet is a world whose VMs run managers, with a platform and a list of VMs.
+type fleet struct {
+	*world
+	specs []configurer.GroupSpec
+	zones map[string][]string
+
+	platform  sync.Mutex
+	objects   map[string]platformer.Object
+	writes    int
+	reads     int
+	loseWrite int // answers of the next writes are lost
+	down      bool
+	gone      map[string]time.Time
+	dead      map[string]bool
+	leaving   map[string]bool
+	leases    map[string]map[string]Lease
+	states    map[string]State
+	inFlight  []InFlight
+}
+
+func newFleet(seed uint64, zones map[string][]string, groups ...string) *fleet {
+	var names []string
+	for _, vms := range zones {
+		names = append(names, vms...)
+	}
+	slices.Sort(names)
+	fleet := &fleet{
+		world: newWorld(seed, names...), zones: zones, objects: map[string]platformer.Object{},
+		gone: map[string]time.Time{}, dead: map[string]bool{}, leaving: map[string]bool{},
+		leases: map[string]map[string]Lease{}, states: map[string]State{},
+	}
+	for _, id := range groups {
+		fleet.specs = append(fleet.specs, configurer.GroupSpec{ID: id, Zone: "z1"})
+	}
+	return fleet
+}
+
+func (fleet *fleet) boot(name string) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	node := &node{world: fleet.world, name: name, clock: clocker.NewFake(fleet.clock.Now()), ctx: ctx, cancel: cancel}
+	node.manager = &Manager{
+		VM: name, Clock: node.clock, Timing: fleet.timing, Caller: node, Objects: fleet, Liveness: fleet,
+		Recorder: timeliner.New(node.clock, name),
+		Specs:    func() []configurer.GroupSpec { return fleet.specs },
+		Newest:   fleet.newest,
+		Member:   func(spec configurer.GroupSpec) Member { return &fleetMember{fleet: fleet, node: node, id: spec.ID} },
+	}
+	fleet.set(func() {
+		fleet.nodes[name] = node
+		fleet.dead[name] = false
+	})
+	fleet.running.Go(func() error { return node.manager.Run(ctx) })
+	return node
+}
+
+// kill ends the process without any goodbye.
+func (fleet *fleet) kill(name string) {
+	node := fleet.nodes[name]
+	fleet.set(func() {
+		node.dead = true
+		fleet.dead[name] = true
+		for _, leases := range fleet.leases {
+			delete(leases, name)
+		}
+	})
+	node.cancel()
+	fleet.former = append(fleet.former, node)
+}
+
+func (fleet *fleet) advance(d time.Duration) {
+	for range d / step {
+		fleet.run(step)
+		fleet.set(func() {
+			for id, leases := range fleet.leases {
+				var valid []string
+				for vm, lease := range leases {
+					if until, _ := lease.Valid(); until.After(fleet.clock.Now()) {
+						valid = append(valid, vm)
+					}
+				}
+				if len(valid) > 1 {
+					fleet.faults = append(fleet.faults, fmt.Sprintf("group %s has the holders %v", id, valid))
+				}
+			}
+		})
+	}
+}
+
+func (fleet *fleet) advanceUntil(limit time.Duration, condition func() bool) time.Duration {
+	start := fleet.clock.Now()
+	for !condition() && fleet.clock.Now().Sub(start) < limit {
+		fleet.advance(step)
+	}
+	if !condition() {
+		fleet.fault("condition did not hold within %v", limit)
+	}
+	return fleet.clock.Now().Sub(start)
+}
+
+func (fleet *fleet) holder(id string) string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for vm, lease := range fleet.leases[id] {
+		if _, ok := lease.Valid(); ok {
+			return vm
+		}
+	}
+	return ""
+}
+
+func (fleet *fleet) stored(id string) Record {
+	fleet.platform.Lock()
+	defer fleet.platform.Unlock()
+	record, _ := decodeRecord(id, fleet.objects[objectName(id)].Value)
+	return record
+}
+
+func (fleet *fleet) newest(name string) ([]byte, bool) {
+	fleet.platform.Lock()
+	defer fleet.platform.Unlock()
+	object, ok := fleet.objects[name]
+	return object.Value, ok && !fleet.down
+}
+
+func (fleet *fleet) Get(_ context.Context, name string) (platformer.Object, error) {
+	fleet.platform.Lock()
+	defer fleet.platform.Unlock()
+	fleet.reads++
+	if fleet.down {
+		return platformer.Object{}, errDown
+	}
+	object, ok := fleet.objects[name]
+	if !ok {
+		return platformer.Object{}, platformer.ErrNotFound
+	}
+	return object, nil
+}
+
+func (fleet *fleet) Put(_ context.Context, name string, value []byte, version string) (string, error) {
+	fleet.platform.Lock()
+	defer fleet.platform.Unlock()
+	fleet.writes++
+	if fleet.down {
+		return "", errDown
+	}
+	if fleet.objects[name].Version != version {
+		return "", platformer.ErrConflict
+	}
+	next := strconv.Itoa(fleet.writes)
+	fleet.objects[name] = platformer.Object{Name: name, Value: value, Version: next}
+	if fleet.loseWrite > 0 {
+		fleet.loseWrite--
+		return "", errLost
+	}
+	return next, nil
+}
+
+func (fleet *fleet) Alive(vm string) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	dead, known := fleet.dead[vm]
+	return known && !dead
+}
+
+func (fleet *fleet) Gone(vm string) (time.Time, bool) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	since, gone := fleet.gone[vm]
+	return since, gone
+}
+
+func (fleet *fleet) Leaving(vm string) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.leaving[vm]
+}
+
+func (fleet *fleet) VMs() map[string][]string { return fleet.zones }
+
+type fleetMember struct {
+	fleet *fleet
+	node  *node
+	id    string
+}
+
+func (member *fleetMember) Begin(_ context.Context, lease Lease, state State) error {
+	member.fleet.set(func() {
+		if member.node.dead {
+			return
+		}
+		if member.fleet.leases[member.id] == nil {
+			member.fleet.leases[member.id] = map[string]Lease{}
+		}
+		member.fleet.leases[member.id][member.node.name] = lease
+		member.fleet.states[member.id] = state
+	})
+	return nil
+}
+
+func (member *fleetMember) End(bool) []InFlight {
+	member.fleet.set(func() { delete(member.fleet.leases[member.id], member.node.name) })
+	return nil
+}
+
+// inFleet boots all VMs and runs test in a bubble.
+func inFleet(t *testing.T, zones map[string][]string, groups []string, test func(t *testing.T, fleet *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(1, zones, groups...)
+		for _, name := range fleet.names {
+			fleet.boot(name)
+		}
+		defer fleet.stop()
+		test(t, fleet)
+		for _, fault := range fleet.faults {
+			t.Error(fault)
+		}
+	})
+}
+
+var (
+	oneZone  = map[string][]string{"z1": {"a", "b", "c", "d"}}
+	twoZones = map[string][]string{"z1": {"a", "b"}, "z2": {"x", "y"}}
+)
+
+func (fleet *fleet) served() bool {
+	return !slices.ContainsFunc(fleet.specs, func(spec configurer.GroupSpec) bool { return fleet.holder(spec.ID) == "" })
+}
+
+// Guards against groups that are not formed, holders that do not spread, and
+// writes or reads of the platform while nothing changes.
+func TestManagersFormGroups(t *testing.T) {
+	groups := []string{"quotes.z1.0", "bookings.z1.0", "labels.z1.0", "manifests.z1.0", "stock.z1.0", "dispatch.z1.0"}
+	inFleet(t, twoZones, groups, func(t *testing.T, fleet *fleet) {
+		took := fleet.advanceUntil(5*time.Second, fleet.served)
+		t.Logf("served after %v, with %d writes and %d reads", took, fleet.writes, fleet.reads)
+		holders := map[string]int{}
+		for _, id := range groups {
+			record := fleet.stored(id)
+			assert.Equal(t, len(record.Candidates), 3)
+			assert.Assert(t, slices.Contains(record.Candidates, "a") && slices.Contains(record.Candidates, "b"))
+			holders[fleet.holder(id)]++
+		}
+		assert.Assert(t, holders["a"] > 0 && holders["b"] > 0, "holders: %v", holders)
+		writes, reads := fleet.writes, fleet.reads
+		assert.Equal(t, writes, len(groups))
+		fleet.advance(20 * time.Second)
+		assert.Equal(t, fleet.writes, writes)
+		assert.Equal(t, fleet.reads, reads)
+	})
+}
+
+// Guards against a second formation, and a group that nobody founds, after the
+// answer of the record's write was lost.
+func TestLostAnswerOfTheRecordsWrite(t *testing.T) {
+	inFleet(t, oneZone, []string{"g"}, func(t *testing.T, fleet *fleet) {
+		fleet.loseWrite = 1
+		fleet.advanceUntil(5*time.Second, fleet.served)
+		assert.Equal(t, fleet.stored("g").Revision, uint64(1))
+		assert.Equal(t, fleet.writes, 1)
+	})
+}
+
+// Guards against a dead candidate that stays, a replacement that interrupts the
+// service, and more than the two writes that it needs.
+func TestDeadCandidateIsReplaced(t *testing.T) {
+	for _, lost := range []int{0, 2} {
+		inFleet(t, oneZone, []string{"g"}, func(t *testing.T, fleet *fleet) {
+			fleet.advanceUntil(5*time.Second, fleet.served)
+			holder := fleet.holder("g")
+			before := fleet.stored("g")
+			victim := before.Candidates[2]
+			fleet.loseWrite = lost
+			fleet.kill(victim)
+			settled := func() bool {
+				record := fleet.stored("g")
+				return len(record.Previous) == 0 && !slices.Contains(record.Candidates, victim)
+			}
+			took := fleet.advanceUntil(10*time.Second, settled)
+			t.Logf("replaced after %v", took)
+			assert.Equal(t, fleet.holder("g"), holder)
+			assert.Equal(t, fleet.stored("g").Revision, before.Revision+2)
+			fleet.advance(2 * time.Second)
+			assert.Equal(t, fleet.writes, 3)
+			for _, vm := range fleet.stored("g").Candidates {
+				group, ok := fleet.nodes[vm].manager.Group("g")
+				assert.Assert(t, ok && group.Synchronized())
+			}
+		})
+	}
+}
+
+// Guards against a planned stop that leaves groups without a holder for long, or
+// a leaving VM that stays a candidate.
+func TestReleaseAllAndReplaceTheLeavingVM(t *testing.T) {
+	inFleet(t, oneZone, []string{"g", "h"}, func(t *testing.T, fleet *fleet) {
+		fleet.advanceUntil(5*time.Second, fleet.served)
+		fleet.advance(time.Second)
+		vm := fleet.holder("g")
+		fleet.set(func() { fleet.leaving[vm] = true })
+		var released error
+		done := false
+		fleet.running.Go(func() error {
+			released = fleet.nodes[vm].manager.ReleaseAll(fleet.nodes[vm].ctx)
+			fleet.set(func() { done = true })
+			return nil
+		})
+		took := fleet.advanceUntil(time.Second, func() bool { return fleet.holder("g") != vm && fleet.served() })
+		t.Logf("served by a successor after %v", took)
+		assert.Assert(t, took < 100*time.Millisecond)
+		fleet.advance(200 * time.Millisecond)
+		fleet.set(func() { assert.Assert(t, done) })
+		assert.NilError(t, released)
+		fleet.advanceUntil(5*time.Second, func() bool {
+			record := fleet.stored("g")
+			return len(record.Previous) == 0 && !slices.Contains(record.Candidates, vm)
+		})
+		fleet.kill(vm)
+		fleet.advance(time.Second)
+		assert.Assert(t, fleet.served())
+	})
+}
+
+// Guards against a group that is not formed anew when all candidates are gone,
+// and against a new group that hides that its memory is lost.
+func TestAllCandidatesLost(t *testing.T) {
+	zones := map[string][]string{"z1": {"a", "b", "c", "d"}, "z2": {"x", "y"}}
+	inFleet(t, zones, []string{"g"}, func(t *testing.T, fleet *fleet) {
+		fleet.advanceUntil(5*time.Second, fleet.served)
+		before := fleet.stored("g")
+		fleet.platform.Lock()
+		fleet.objects["assignments/g"] = platformer.Object{Value: []byte(`{"term":4,"version":9,"shards":{"1":"u"}}`)}
+		fleet.platform.Unlock()
+		for _, vm := range before.Candidates {
+			fleet.kill(vm)
+			fleet.set(func() { fleet.gone[vm] = fleet.clock.Now() })
+		}
+		took := fleet.advanceUntil(20*time.Second, fleet.served)
+		t.Logf("served again after %v", took)
+		after := fleet.stored("g")
+		assert.Equal(t, after.BaseTerm, before.BaseTerm+termStep)
+		assert.Assert(t, !after.Formed.IsZero())
+		state := fleet.states["g"]
+		assert.Assert(t, !state.MemoryLost.IsZero())
+		assert.Equal(t, state.Assignment.Shards[1], "u")
+	})
+}
+
+// Guards against a group that stays without a holder after all its VMs have
+// restarted and none of them has the state.
+func TestAllCandidatesRestarted(t *testing.T) {
+	inFleet(t, twoZones, []string{"g"}, func(t *testing.T, fleet *fleet) {
+		fleet.advanceUntil(5*time.Second, fleet.served)
+		for _, vm := range fleet.names {
+			fleet.kill(vm)
+		}
+		for _, vm := range fleet.names {
+			fleet.boot(vm)
+		}
+		took := fleet.advanceUntil(20*time.Second, fleet.served)
+		t.Logf("served again after %v", took)
+		assert.Assert(t, !fleet.stored("g").Formed.IsZero())
+		assert.Equal(t, fleet.stored("g").Revision, uint64(2))
+	})
+}
+
+// Guards against a loss of the holder that needs the platform.
+func TestTakeoverWhileThePlatformIsDown(t *testing.T) {
+	inFleet(t, oneZone, []string{"g"}, func(t *testing.T, fleet *fleet) {
+		fleet.advanceUntil(5*time.Second, fleet.served)
+		fleet.advance(time.Second)
+		fleet.platform.Lock()
+		fleet.down = true
+		fleet.platform.Unlock()
+		fleet.kill(fleet.holder("g"))
+		took := fleet.advanceUntil(2*time.Second, fleet.served)
+		t.Logf("served again after %v", took)
+		fleet.advance(10 * time.Second)
+		assert.Assert(t, fleet.served())
+	})
+}
+
+// Guards against a group that a single VM serves and that is not extended when
+// more VMs come.
+func TestGroupGrows(t *testing.T) {
+	inFleet(t, map[string][]string{"z1": {"a"}}, []string{"g"}, func(t *testing.T, fleet *fleet) {
+		fleet.advanceUntil(5*time.Second, fleet.served)
+		fleet.names = append(fleet.names, "b", "c")
+		fleet.platform.Lock()
+		fleet.zones = map[string][]string{"z1": {"a", "b", "c"}}
+		fleet.platform.Unlock()
+		fleet.boot("b")
+		fleet.boot("c")
+		gap := time.Duration(0)
+		for range 3 * time.Second / step {
+			fleet.advance(step)
+			if !fleet.served() {
+				gap += step
+			}
+		}
+		assert.Equal(t, gap, time.Duration(0))
+		record := fleet.stored("g")
+		assert.Assert(t, len(record.Candidates) == 3 && len(record.Previous) == 0, "%v", record)
+	})
+}
--- a/internal/replicator/messages.go
+++ b/internal/replicator/messages.go
@@ -38,8 +38,6 @@
 	Term   uint64 `cbor:"term"`
 }
 
-func (header header) group() string { return header.Group }
-
 type promiseCall struct {
 	header
 	// Holding is set once the sender serves the group, so that its voters can
--- a/internal/replicator/restore.go
+++ b/internal/replicator/restore.go
@@ -66,7 +66,7 @@
 		var answer reply
 		err := group.call(ctx, vm, methodRestore, group.Timing.Heartbeat, call, &answer, &answer)
 		if err == nil {
-			tenure.met(vm, answer, call.Record.Revision)
+			tenure.met(vm, answer)
 			if answer.Higher > tenure.Term() {
 				tenure.lose("a candidate knows a higher term")
 			}
--- a/internal/replicator/tenure.go
+++ b/internal/replicator/tenure.go
@@ -204,9 +204,10 @@
 	if err != nil {
 		return answer, err
 	}
-	tenure.met(vm, answer, call.Record.Revision)
+	tenure.met(vm, answer)
 	if answer.OK {
 		tenure.holder.Add(vm, sent)
+		tenure.promised(vm, call.Record.Revision)
 	}
 	if answer.Higher > tenure.Term() {
 		tenure.lose("a candidate knows a higher term")
@@ -220,7 +221,7 @@
 }
 
 // met notes the answer of another candidate.
-func (tenure *tenure) met(vm string, answer reply, revision uint64) {
+func (tenure *tenure) met(vm string, answer reply) {
 	tenure.mutex.Lock()
 	defer tenure.mutex.Unlock()
 	known := tenure.peers[vm]
@@ -230,9 +231,13 @@
 	}
 	known.incarnation, known.synchronized, known.complete = answer.Incarnation, answer.Synchronized, answer.Complete
 	known.answered = tenure.group.Clock.Now()
-	if answer.OK {
-		known.revision = revision
-	}
+}
+
+// promised notes the record under which vm has given its last promise.
+func (tenure *tenure) promised(vm string, revision uint64) {
+	tenure.mutex.Lock()
+	defer tenure.mutex.Unlock()
+	tenure.peers[vm].revision = revision
 }
 
 func (tenure *tenure) incarnationOf(vm string) (uint64, bool) {
--- a/internal/replicator/world_test.go
+++ b/internal/replicator/world_test.go
@@ -61,6 +61,7 @@
 	name    string
 	clock   *clocker.Fake
 	group   *Group
+	manager *Manager // instead of group, in tests of managers
 	cancel  context.CancelFunc
 	ctx     context.Context
 	dead    bool
@@ -349,7 +350,11 @@
 	if err := cbor.Unmarshal(data, body); err != nil {
 		return nil, err
 	}
-	result, err := node.group.Answer(ctx, from, method, body)
+	answer := node.manager.answer
+	if node.group != nil {
+		answer = node.group.Answer
+	}
+	result, err := answer(ctx, from, method, body)
 	if err != nil {
 		return nil, err
 	}
