--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,6 +42,7 @@
 	client     *upstreamer.Client
 	timeline   *timeliner.Recorder
 	lease      *lease
+	persist    atomic.Pointer[func(replicator.Assignment) error]
 	service    configurer.Service
 	document   configurer.Document
 
@@ -133,6 +135,12 @@
 	bench.timeline = timeliner.New(bench.clock, "vm")
 	bench.dispatcher = &dispatcher.Dispatcher{
 		Group: "quotes.a.0", Clock: bench.clock, Upstreams: bench.client, Timeline: bench.timeline,
+		Persist: func(_ context.Context, assignment replicator.Assignment) error {
+			if persist := bench.persist.Load(); persist != nil {
+				return (*persist)(assignment)
+			}
+			return nil
+		},
 	}
 	bench.service = configurer.Service{Name: "quotes", Shards: testShards, ChecksGrants: checks}
 	for _, name := range names {
--- a/internal/dispatcher/decisions.go
+++ b/internal/dispatcher/decisions.go
@@ -170,9 +170,12 @@
 func (dispatcher *Dispatcher) withKeyRules(next replicator.Assignment, hot map[string]placer.Item, balance bool) replicator.Assignment {
 	found := dispatcher.loads.hot(len(dispatcher.upstreams), hotFraction/2)
 	enters := dispatcher.loads.hot(len(dispatcher.upstreams), hotFraction)
+	busy := dispatcher.busy()
 	for key, owner := range next.HotKeys {
 		_, ruled := dispatcher.pins[key]
-		if _, warm := found[key]; ruled || warm || !balance {
+		_, warm := found[key]
+		// A move back without load has no gain.
+		if ruled || !dispatcher.unpinned[key] && (warm || !balance || !busy) {
 			hot[key] = placer.Item{Owner: owner, Load: found[key]}
 			continue
 		}
@@ -180,7 +183,7 @@
 	}
 	for key, load := range enters {
 		owner, homed := next.Shards[dispatcher.shardOf(key)]
-		if _, known := next.HotKeys[key]; !known && homed && balance && dispatcher.busy() {
+		if _, known := next.HotKeys[key]; !known && homed && balance && busy {
 			hot[key] = placer.Item{Owner: owner, Load: load}
 		}
 	}
@@ -217,6 +220,7 @@
 	held := dispatcher.ownership.held
 	if owner == home && held[place{shard: shard, key: key}] == home && held[place{shard: shard}] == home {
 		delete(next.HotKeys, key)
+		delete(dispatcher.unpinned, key)
 		return
 	}
 	next.HotKeys[key] = home
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -47,6 +47,7 @@
 	policies  [queuer.RankCount]queuer.Policy
 	service   configurer.Service
 	pins      map[string]configurer.KeyRule // by key
+	unpinned  map[string]bool               // keys whose rule was removed
 	homes     map[uint32]bool               // nil until SetHomes
 	leaving   map[string]bool               // from the platform's list
 	upstreams map[string]*upstream
--- a/internal/dispatcher/update.go
+++ b/internal/dispatcher/update.go
@@ -41,7 +41,7 @@
 		dispatcher.budget, dispatcher.loads = newBudget(), newLoads()
 	}
 	dispatcher.service = service
-	dispatcher.pins = pins(service.Name, document)
+	dispatcher.repin(pins(service.Name, document))
 	policies := policies(service.Name, document)
 	changed := policies != dispatcher.policies
 	dispatcher.policies = policies
@@ -66,6 +66,23 @@
 	return created
 }
 
+// repin takes the key rules over. A key whose rule was removed returns to the
+// owner of its shard.
+func (dispatcher *Dispatcher) repin(rules map[string]configurer.KeyRule) {
+	if dispatcher.unpinned == nil {
+		dispatcher.unpinned = map[string]bool{}
+	}
+	for key := range dispatcher.pins {
+		if _, ok := rules[key]; !ok {
+			dispatcher.unpinned[key] = true
+		}
+	}
+	for key := range rules {
+		delete(dispatcher.unpinned, key)
+	}
+	dispatcher.pins = rules
+}
+
 // join adds new upstreams and takes changed ones over. Another address is
 // another process, so that the former one counts as lost.
 func (dispatcher *Dispatcher) join(specs []configurer.Upstream) []string {
