Let the manager form groups and replace candidates

Cause: the first wiring formed groups once and never replaced a lost candidate.

Change: the daemon uses replicator.Manager; dispatchers follow the groups that this VM takes part in; assignments are written to the platform.

Ruled out: keeping a dispatcher alive after its group has left the VM; it would answer with an old state.

Before: with a candidate lost, a group kept two copies.

--- a/internal/starter/members.go
+++ b/internal/starter/members.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
+	"log/slog"
 	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cuminstream/cuminstream/internal/configurer"
@@ -21,331 +17,269 @@
 	"github.com/cuminstream/cuminstream/internal/homer"
 	"github.com/cuminstream/cuminstream/internal/linker"
 	"github.com/cuminstream/cuminstream/internal/locator"
-	"github.com/cuminstream/cuminstream/internal/operator"
+	"github.com/cuminstream/cuminstream/internal/platformer"
 	"github.com/cuminstream/cuminstream/internal/replicator"
 	"github.com/cuminstream/cuminstream/internal/router"
 	"github.com/cuminstream/cuminstream/internal/syncer"
 	"github.com/cuminstream/cuminstream/internal/timeliner"
 	"github.com/cuminstream/cuminstream/internal/upstreamer"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
-	"github.com/cuminstream/cuminstream/pkg/sharder"
 	"github.com/cuminstream/cuminstream/pkg/tracker"
 )
 
-// memberPeriod is the time between two comparisons of the groups with the
-// document.
-const memberPeriod = 200 * time.Millisecond
+// memberPeriod is the time between two comparisons of the dispatchers with the
+// document and the homes.
+const memberPeriod = 100 * time.Millisecond
 
-// members are the groups of which this VM is a candidate.
+// members are the groups of which this VM is a candidate, with their
+// dispatchers. Its mutex comes before those of the manager and the dispatchers.
 type members struct {
 	settings  Settings
 	clock     clocker.Clock
 	store     *syncer.Store
 	documents *configurer.Store
 	tracker   *tracker.Tracker
-	pool      *linker.Pool
 	locator   *locator.Locator
 	registry  *router.Registry
 	upstreams *upstreamer.Client
 	recorder  *timeliner.Recorder
 	pulse     *pulse
 	metrics   *prometheus.Registry
+	manager   *replicator.Manager
 
 	mutex    sync.Mutex
-	groups   map[string]*member
+	served   map[string]*member
+	running  errgroup.Group
 	stopping atomic.Bool
 }
 
-// member is one group on this VM.
+// member is the dispatcher of one group on this VM.
 type member struct {
-	spec       configurer.GroupSpec
-	group      *replicator.Group
+	service    string
 	dispatcher *dispatcher.Dispatcher
-	revision   uint64
+	cancel     context.CancelFunc
+	revision   uint64 // of the document that the dispatcher has
+	homes      uint64 // revision of the homes that the dispatcher has
 }
 
-func newMembers(settings Settings, clock clocker.Clock, store *syncer.Store, documents *configurer.Store, tracked *tracker.Tracker,
-	pool *linker.Pool, places *locator.Locator, registry *router.Registry, upstreams *upstreamer.Client, recorder *timeliner.Recorder,
-	pulse *pulse, metrics *prometheus.Registry,
-) *members {
+// memberParts are what the groups depend on.
+type memberParts struct {
+	fx.In
+
+	Settings  Settings
+	Clock     clocker.Clock
+	API       platformer.API
+	Store     *syncer.Store
+	Documents *configurer.Store
+	Tracker   *tracker.Tracker
+	Pool      *linker.Pool
+	Locator   *locator.Locator
+	Registry  *router.Registry
+	Upstreams *upstreamer.Client
+	Recorder  *timeliner.Recorder
+	Pulse     *pulse
+	Metrics   *prometheus.Registry
+}
+
+func newMembers(parts memberParts) *members {
 	members := &members{
-		settings: settings, clock: clock, store: store, documents: documents, tracker: tracked, pool: pool, locator: places,
-		registry: registry, upstreams: upstreams, recorder: recorder, pulse: pulse, metrics: metrics, groups: map[string]*member{},
+		settings: parts.Settings, clock: parts.Clock, store: parts.Store, documents: parts.Documents, tracker: parts.Tracker,
+		locator: parts.Locator, registry: parts.Registry, upstreams: parts.Upstreams, recorder: parts.Recorder,
+		pulse: parts.Pulse, metrics: parts.Metrics, served: map[string]*member{},
 	}
-	pulse.held = members.held
-	store.Watches = pulse.watches
+	members.manager = &replicator.Manager{
+		VM: parts.Settings.Name, Clock: parts.Clock, Timing: parts.Settings.Timing(), Caller: parts.Pool,
+		Objects:  objects{parts.API, parts.Store},
+		Liveness: liveness{tracker: parts.Tracker, clock: parts.Clock, name: parts.Settings.Name, zone: parts.Settings.Zone},
+		Recorder: parts.Recorder, Specs: members.specs, Newest: members.newest, Member: members.begin,
+	}
+	parts.Pulse.held = members.held
+	parts.Store.Watches = parts.Pulse.watches
 	return members
 }
 
-func (members *members) register(registrar linker.Registrar) {
-	replicator.Register(registrar, func(id string) *replicator.Group {
-		if found := members.find(id); found != nil {
-			return found.group
-		}
-		return nil
-	})
-}
+func (members *members) register(registrar linker.Registrar) { members.manager.Register(registrar) }
 
-func (members *members) find(id string) *member {
-	members.mutex.Lock()
-	defer members.mutex.Unlock()
-	return members.groups[id]
+// newest returns the value of an object as this VM knows it.
+func (members *members) newest(name string) ([]byte, bool) {
+	object, ok := members.store.Get(name)
+	return object.Value, ok
 }
 
-// held returns the groups that this VM serves, with their terms.
-func (members *members) held() map[string]uint64 {
-	held := map[string]uint64{}
-	for id, member := range members.all() {
-		if vm, term, ok := member.group.Holder(); ok && vm == members.settings.Name {
-			held[id] = term
+// specs returns the groups of the newest document, or nil if there is none.
+func (members *members) specs() []configurer.GroupSpec {
+	document := members.documents.Document()
+	if document.Revision == 0 {
+		return nil
+	}
+	specs := []configurer.GroupSpec{}
+	for _, section := range document.Sections {
+		for _, service := range section.Services {
+			specs = append(specs, service.Groups()...)
 		}
 	}
-	return held
+	return specs
 }
 
-func (members *members) all() map[string]*member {
+// begin returns the dispatcher of a group that this VM takes part in.
+func (members *members) begin(spec configurer.GroupSpec) replicator.Member {
+	served := &dispatcher.Dispatcher{
+		Group: spec.ID, Clock: members.clock, Upstreams: members.upstreams, Timeline: members.recorder,
+		Persist: func(ctx context.Context, assignment replicator.Assignment) error {
+			return members.persist(ctx, spec.ID, assignment)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &member{service: spec.Service, dispatcher: served, cancel: cancel}
+	members.update(started, spec)
 	members.mutex.Lock()
-	defer members.mutex.Unlock()
-	return maps.Clone(members.groups)
+	if former := members.served[spec.ID]; former != nil {
+		former.cancel()
+	}
+	members.served[spec.ID] = started
+	members.mutex.Unlock()
+	members.registry.Set(spec.ID, served)
+	members.running.Go(func() error { return served.Run(ctx) })
+	return served
 }
 
-// ready reports whether a document and the homes of all its services are known.
-func (members *members) ready() bool {
+// update gives the dispatcher the newest document and homes.
+func (members *members) update(member *member, spec configurer.GroupSpec) {
 	document := members.documents.Document()
-	if members.stopping.Load() || document.Revision == 0 {
-		return false
-	}
-	for _, section := range document.Sections {
-		for _, service := range section.Services {
-			if _, ok := members.locator.Homes(service.Name); !ok {
-				return false
-			}
+	if member.revision != document.Revision {
+		if match, ok := document.Service(spec.Service); ok {
+			member.revision = document.Revision
+			member.dispatcher.Update(spec, *match.Service, *document)
 		}
 	}
-	return true
-}
-
-func (members *members) leave() { members.stopping.Store(true) }
-
-// release hands all held groups over.
-func (members *members) release(ctx context.Context) {
-	var group errgroup.Group
-	for _, member := range members.all() {
-		group.Go(func() error {
-			member.group.Retire()
-			return member.group.Release(ctx, "")
-		})
+	if homes, ok := members.locator.Homes(spec.Service); ok && homes.Revision != member.homes {
+		member.homes = homes.Revision
+		member.dispatcher.SetHomes(homes.ShardsOf(spec.ID))
 	}
-	_ = group.Wait()
 }
 
-// Run compares the groups with the document until ctx is done.
+// Run keeps the groups and their dispatchers until ctx is done.
 func (members *members) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := members.manager.Run(ctx); err != nil && ctx.Err() == nil {
+			return err
+		}
+		return nil
+	})
 	ticker := members.clock.NewTicker(memberPeriod)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		members.compare(ctx, group)
+		members.refresh()
 		select {
 		case <-ctx.Done():
 		case <-ticker.C():
 		}
 	}
-	return group.Wait()
+	err := group.Wait()
+	members.mutex.Lock()
+	for _, member := range members.served {
+		member.cancel()
+	}
+	members.mutex.Unlock()
+	_ = members.running.Wait() // dispatchers end without an error
+	return err
 }
 
-func (members *members) compare(ctx context.Context, group *errgroup.Group) {
-	document := members.documents.Document()
-	for _, section := range document.Sections {
+// refresh brings look-ups and dispatchers up to date.
+func (members *members) refresh() {
+	for _, section := range members.documents.Document().Sections {
 		for _, service := range section.Services {
-			members.compareHomes(service)
+			members.refreshHomes(service)
 			for _, spec := range service.Groups() {
-				members.compareGroup(ctx, group, *document, service, spec)
+				members.refreshGroup(spec)
 			}
 		}
 	}
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	for id, member := range members.served {
+		if _, ok := members.manager.Group(id); !ok {
+			member.cancel()
+			members.registry.Set(id, nil)
+			delete(members.served, id)
+		}
+	}
 }
 
-func (members *members) compareHomes(service configurer.Service) {
-	object, ok := members.store.Get(homer.ObjectName(service.Name))
+func (members *members) refreshHomes(service configurer.Service) {
+	value, ok := members.newest(homer.ObjectName(service.Name))
 	if !ok {
 		return
 	}
-	if homes, err := locator.ParseHomes(object.Value); err == nil {
+	if homes, err := locator.ParseHomes(value); err == nil {
 		members.locator.SetHomes(homes)
 	}
 }
 
-func (members *members) compareGroup(ctx context.Context, group *errgroup.Group, document configurer.Document, service configurer.Service, spec configurer.GroupSpec) {
-	object, ok := members.store.Get(syncer.GroupsPrefix + spec.ID)
-	if !ok {
-		members.form(ctx, group, spec)
-		return
-	}
-	var record replicator.Record
-	if json.Unmarshal(object.Value, &record) != nil {
-		return
-	}
-	members.locator.SetCandidates(spec.ID, record.Candidates)
-	if !slices.Contains(record.Candidates, members.settings.Name) {
-		return
-	}
-	found := members.find(spec.ID)
-	if found == nil {
-		found = members.start(ctx, group, spec, record)
+func (members *members) refreshGroup(spec configurer.GroupSpec) {
+	if record, ok := members.manager.Record(spec.ID); ok {
+		members.locator.SetCandidates(spec.ID, record.Candidates)
 	}
-	found.group.Adopt(record)
-	if homes, ok := members.locator.Homes(service.Name); ok {
-		found.dispatcher.SetHomes(homes.ShardsOf(spec.ID))
+	if group, ok := members.manager.Group(spec.ID); ok {
+		if vm, term, known := group.Holder(); known {
+			members.locator.SetHolder(spec.ID, vm, term)
+		}
 	}
-	if found.revision != document.Revision {
-		found.revision, found.spec = document.Revision, spec
-		found.dispatcher.Update(spec, service, document)
+	if member := members.find(spec.ID); member != nil {
+		members.update(member, spec)
 	}
 }
 
-func (members *members) start(ctx context.Context, group *errgroup.Group, spec configurer.GroupSpec, record replicator.Record) *member {
-	served := &dispatcher.Dispatcher{
-		Group: spec.ID, Clock: members.clock, Upstreams: members.upstreams, Timeline: members.recorder,
-	}
-	started := &member{spec: spec, dispatcher: served, group: &replicator.Group{
-		ID: spec.ID, VM: members.settings.Name, Clock: members.clock, Timing: members.settings.Timing(), Caller: members.pool,
-		Member: served, Recorder: members.recorder, Record: record,
-	}}
+func (members *members) find(id string) *member {
 	members.mutex.Lock()
-	members.groups[spec.ID] = started
-	members.mutex.Unlock()
-	members.registry.Set(spec.ID, served)
-	group.Go(func() error { return served.Run(ctx) })
-	group.Go(func() error {
-		if err := started.group.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
-			return fmt.Errorf("group %s: %w", spec.ID, err)
-		}
-		return nil
-	})
-	return started
-}
-
-// form creates the record of a group, if this VM is the first of its zone.
-func (members *members) form(ctx context.Context, group *errgroup.Group, spec configurer.GroupSpec) {
-	candidates := []string{members.settings.Name}
-	var others []string
-	for _, peer := range members.tracker.Peers("") {
-		if peer.Zone == spec.Zone {
-			candidates = append(candidates, peer.Name)
-		} else {
-			others = append(others, peer.Name)
-		}
-	}
-	slices.Sort(candidates)
-	if members.settings.Zone != spec.Zone || candidates[0] != members.settings.Name || len(others) == 0 {
-		return
-	}
-	first := int(sharder.Hash(spec.ID) % uint64(len(candidates)))
-	candidates = append(candidates[first:], candidates[:first]...)
-	candidates = append(candidates, others...)[:min(3, len(candidates)+len(others))]
-	record := replicator.Record{ID: spec.ID, Candidates: candidates, BaseTerm: 1, Revision: 1, WriteID: uuid.NewString()}
-	value, err := json.Marshal(record)
-	if err != nil {
-		return
-	}
-	if _, err := members.store.Put(ctx, syncer.GroupsPrefix+spec.ID, value, ""); err != nil {
-		return
-	}
-	group.Go(func() error {
-		_ = clocker.Sleep(ctx, members.clock, time.Second)
-		_ = replicator.Found(ctx, members.clock, members.settings.Timing(), members.pool, record)
-		return nil
-	})
+	defer members.mutex.Unlock()
+	return members.served[id]
 }
 
-// status reports on this VM.
-func (members *members) status() operator.Status {
-	status := operator.Status{
-		VM: members.settings.Name, Zone: members.settings.Zone, Time: members.clock.Now(), Stopping: members.stopping.Load(),
-		Revision: members.documents.Document().Revision, Platform: "unreachable", Refusals: map[string]float64{},
-	}
-	if members.pulse.listed.Load() {
-		status.Platform = "reachable"
-	}
-	for _, peer := range members.tracker.Peers("") {
-		status.Peers = append(status.Peers, operator.Peer{VM: peer.Name, Zone: peer.Zone, State: peer.State.String(), Operator: peer.Operator})
-	}
-	for id, member := range members.all() {
-		status.Groups = append(status.Groups, members.groupStatus(id, member))
-	}
-	slices.SortFunc(status.Groups, func(a, b operator.Group) int { return strings.Compare(a.ID, b.ID) })
-	status.Refusals = members.refusals()
-	return status
+func (members *members) all() map[string]*member {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	return maps.Clone(members.served)
 }
 
-func (members *members) groupStatus(id string, member *member) operator.Group {
-	vm, term, _ := member.group.Holder()
-	group := operator.Group{ID: id, Holder: vm, Term: term, Candidates: member.group.Newest().Candidates}
-	if homes, ok := members.locator.Homes(member.spec.Service); ok {
-		group.Shards = len(homes.ShardsOf(id))
-	}
-	if vm != members.settings.Name {
-		return group
-	}
-	state := member.dispatcher.Status()
-	for _, upstream := range state.Upstreams {
-		shown := operator.Upstream{
-			Name: upstream.Name, State: upstream.Health, Shards: upstream.Shards, Slots: upstream.Slots, Busy: upstream.Taken, Queued: map[string]int{},
-		}
-		if upstream.Draining != "" {
-			shown.State = "draining"
-		}
-		if upstream.Drained {
-			shown.State = "drained"
-		}
-		for key, owner := range state.HotKeys {
-			if owner == upstream.Name {
-				shown.Hot = append(shown.Hot, key)
-			}
+// held returns the groups that this VM serves, with their terms.
+func (members *members) held() map[string]uint64 {
+	held := map[string]uint64{}
+	for id := range members.all() {
+		group, ok := members.manager.Group(id)
+		if !ok {
+			continue
 		}
-		for rank, count := range upstream.Queued {
-			shown.Queued[rankName(rank)] = count
+		if vm, term, known := group.Holder(); known && vm == members.settings.Name {
+			held[id] = term
 		}
-		slices.Sort(shown.Hot)
-		group.Upstreams = append(group.Upstreams, shown)
 	}
-	return group
+	return held
 }
 
-// owners returns the owner of a key in one service, or in all.
-func (members *members) owners(service, key string) ([]operator.Owner, error) {
-	var owners []operator.Owner
-	for _, section := range members.documents.Document().Sections {
-		for _, known := range section.Services {
-			if service != "" && known.Name != service {
-				continue
-			}
-			place, ok := members.locator.Locate(known.Name, key)
-			if !ok {
-				continue
+// ready reports whether a document and the homes of all its services are known.
+func (members *members) ready() bool {
+	document := members.documents.Document()
+	if members.stopping.Load() || document.Revision == 0 {
+		return false
+	}
+	for _, section := range document.Sections {
+		for _, service := range section.Services {
+			if _, ok := members.locator.Homes(service.Name); !ok {
+				return false
 			}
-			owners = append(owners, members.owner(known.Name, key, place))
 		}
 	}
-	if len(owners) == 0 {
-		return nil, fmt.Errorf("no owner of key %q in service %q is known", key, service)
-	}
-	slices.SortFunc(owners, func(a, b operator.Owner) int { return strings.Compare(a.Service, b.Service) })
-	return owners, nil
+	return true
 }
 
-func (members *members) owner(service, key string, place locator.Location) operator.Owner {
-	vm, term, _ := members.locator.Holder(place.Group)
-	owner := operator.Owner{Service: service, Key: key, Shard: place.Shard, Group: place.Group, Holder: vm, Term: term, From: members.settings.Name}
-	if found := members.find(place.Group); found != nil {
-		if vm, term, ok := found.group.Holder(); ok {
-			owner.Holder, owner.Term = vm, term
-		}
-		if owner.Holder == members.settings.Name {
-			owner.Upstream = found.dispatcher.Owner(key)
-			_, owner.Hot = found.dispatcher.Status().HotKeys[key]
-		}
+// leave ends readiness, so that the balancer sends no new connections.
+func (members *members) leave() { members.stopping.Store(true) }
+
+// release hands all held groups over.
+func (members *members) release(ctx context.Context) {
+	if err := members.manager.ReleaseAll(ctx); err != nil {
+		slog.Warn("a group was not handed over; its lease expires instead", "error", err)
 	}
-	return owner
 }
