--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -36,6 +36,9 @@
 // matches.
 func (router *Router) parse(incoming *http.Request, now time.Time) (*carrier.Request, *answerer.Error) {
 	match, ok := router.Matcher.Match(incoming.Host, incoming.URL.Path, incoming.Method)
+	if !ok && !router.Matcher.Known() {
+		return nil, answerer.New(answerer.NotRunUnavailable, "the routing document is not known on this VM yet")
+	}
 	if !ok {
 		return nil, answerer.New(answerer.UnknownService, "no service matches host %q and path %q", incoming.Host, incoming.URL.Path)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,8 @@
 // Matcher finds the service of a request in the newest document.
 type Matcher interface {
 	Match(host, path, method string) (*configurer.Match, bool)
+	// Known reports whether any revision of the document is known.
+	Known() bool
 }
 
 // Forwarder passes a request to the VM that is believed to hold its group.
--- a/internal/starter/parts.go
+++ b/internal/starter/parts.go
@@ -118,6 +118,9 @@
 	return documents.store.Document().Match(host, path, method)
 }
 
+// Known implements router.Matcher.
+func (documents documents) Known() bool { return documents.store.Revision() > 0 }
+
 func newRouter(settings Settings, clock clocker.Clock, store *configurer.Store, places *locator.Locator, registry *router.Registry,
 	pool *linker.Pool, tracked *tracker.Tracker, metrics *router.Metrics,
 ) *router.Router {
