Harden edits, lists and the platform's stand-in

Change: a section that is invalid for this version of the program can be repaired; before, validation of the former document refused every edit, also the repairing one. A zone rule that was valid when it was written stays valid after another team removes the zone's last upstream. A List is bounded to 128 MiB. The stand-in refuses outages and VMs that make no sense, and has the mode late: writes take effect when the outage ends, even if their callers have gone.

--- a/internal/configurer/change.go
+++ b/internal/configurer/change.go
@@ -1,34 +1,44 @@
 package configurer
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
-// validateChange checks what only the change to the document can show. Only the
-// edited section is blamed.
-func (document *Document) validateChange(before *Document, edited string) error {
+// validateChange checks what only the change of the edited section can show.
+func (document *Document) validateChange(edited string, former Section) error {
 	var faults Faults
 	section := document.Sections[edited]
 	for index, service := range section.Services {
-		former, ok := before.Service(service.Name)
-		if ok && former.Service.Shards != service.Shards {
+		position := slices.IndexFunc(former.Services, func(other Service) bool { return other.Name == service.Name })
+		if position >= 0 && former.Services[position].Shards != service.Shards {
 			// VMs apply a revision at different moments. With two numbers of
 			// shards in force, one key would have two owners.
 			faults.add(edited, fmt.Sprintf("services[%d].shards", index),
 				"service %q has %d shards, which cannot be changed to %d; add a service with another name",
-				service.Name, former.Service.Shards, service.Shards)
-		}
-	}
-	known := map[string]bool{}
-	for _, other := range document.Sections {
-		for _, service := range other.Services {
-			for _, upstream := range service.Upstreams {
-				known[upstream.Zone] = true
-			}
+				service.Name, former.Services[position].Shards, service.Shards)
 		}
 	}
+	zones := document.zones()
 	for index, zone := range section.Zones {
-		if !known[zone.Name] {
+		// A rule that was there before stays valid when another team removes
+		// the last upstream of the zone.
+		if !zones[zone.Name] && !slices.Contains(former.Zones, zone) {
 			faults.add(edited, fmt.Sprintf("zones[%d].name", index), "no upstream is in zone %q", zone.Name)
 		}
 	}
 	return faults.Err()
 }
+
+// zones returns the zones that have upstreams.
+func (document *Document) zones() map[string]bool {
+	zones := map[string]bool{}
+	for _, section := range document.Sections {
+		for _, service := range section.Services {
+			for _, upstream := range service.Upstreams {
+				zones[upstream.Zone] = true
+			}
+		}
+	}
+	return zones
+}
--- a/internal/configurer/editor.go
+++ b/internal/configurer/editor.go
@@ -236,7 +236,8 @@
 	return nil, Result{}, true, conflict
 }
 
-// validate checks the whole document with the edited section.
+// validate checks the whole document with the edited section. The former body
+// of the section need not be valid, so that a fault in it can be repaired.
 func (editor *Editor) validate(ctx context.Context, edit edit, index Index) error {
 	bodies := map[string][]byte{}
 	for _, name := range index.BodyNames() {
@@ -246,24 +247,26 @@
 		}
 		bodies[name] = body
 	}
-	lookUp := func(name string) ([]byte, bool) {
+	others, err := index.without(edit.section).decode(func(name string) ([]byte, bool) {
 		body, ok := bodies[name]
 		return body, ok
-	}
-	before, err := Assemble(index, lookUp)
+	})
 	if err != nil {
 		return err
 	}
-	var after *Document
-	if edit.content == nil {
-		after, err = before.WithoutSection(edit.section)
-	} else {
-		after, err = before.WithSection(edit.section, *edit.content)
+	if edit.content != nil {
+		others[edit.section] = *edit.content
 	}
+	document, err := NewDocument(index.Revision+1, others)
 	if err != nil {
 		return err
 	}
-	return after.validateChange(before, edit.section)
+	// A new section and one that cannot be decoded have no former services.
+	former, err := DecodeSection(edit.section, bodies[BodyPrefix+index.Sections[edit.section].Body])
+	if err != nil {
+		former = Section{}
+	}
+	return document.validateChange(edit.section, former.withDefaults())
 }
 
 // writeBody stores the body under its hash. A conflict means that it is there
--- a/internal/configurer/index.go
+++ b/internal/configurer/index.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"regexp"
@@ -116,9 +117,15 @@
 	return forgotten
 }
 
-// Assemble returns the document of the index. body returns the value of a body
-// object, or false if it is not known.
-func Assemble(index Index, body func(name string) ([]byte, bool)) (*Document, error) {
+// without returns the index without the section.
+func (index Index) without(section string) Index {
+	index.Sections = maps.Clone(index.Sections)
+	delete(index.Sections, section)
+	return index
+}
+
+// decode returns the sections of the index.
+func (index Index) decode(body func(name string) ([]byte, bool)) (map[string]Section, error) {
 	sections := make(map[string]Section, len(index.Sections))
 	var faults Faults
 	for name, entry := range index.Sections {
@@ -130,13 +137,20 @@
 			return nil, fmt.Errorf("body %s of section %q is not known", entry.Body, name)
 		}
 		section, err := DecodeSection(name, value)
-		if err != nil {
-			faults = append(faults, err.(Faults)...)
-			continue
+		var found Faults
+		if errors.As(err, &found) {
+			faults = append(faults, found...)
 		}
 		sections[name] = section
 	}
-	if err := faults.Err(); err != nil {
+	return sections, faults.Err()
+}
+
+// Assemble returns the document of the index. body returns the value of a body
+// object, or false if it is not known.
+func Assemble(index Index, body func(name string) ([]byte, bool)) (*Document, error) {
+	sections, err := index.decode(body)
+	if err != nil {
 		return nil, err
 	}
 	return NewDocument(index.Revision, sections)
--- a/internal/platformer/client.go
+++ b/internal/platformer/client.go
@@ -33,9 +33,9 @@
 	// larger one, and base64 adds a third.
 	maxPage = 8 << 20
 
-	// maxPages bounds one List, so that a platform that repeats itself cannot
-	// hold the caller forever.
-	maxPages = 10_000
+	// maxList bounds the values of one List in bytes, within the 256 MB that
+	// control may cost a node.
+	maxList = 128 << 20
 
 	defaultTimeout = 5 * time.Second
 	watchGrace     = 5 * time.Second // beyond the wait that the platform was asked for
@@ -148,7 +148,7 @@
 	var objects []Object
 	var sequence uint64
 	from := ""
-	for pages := range maxPages {
+	for size := 0; size <= maxList; {
 		query := url.Values{"prefix": {prefix}}
 		if from != "" {
 			query.Set("from", from)
@@ -157,19 +157,22 @@
 		if err := client.read(ctx, "/objects?"+query.Encode(), client.Timeout, &got); err != nil {
 			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
 		}
-		if pages == 0 {
+		if from == "" {
 			sequence = got.Sequence
 		}
-		objects = append(objects, got.objects()...)
+		for _, object := range got.objects() {
+			size += len(object.Name) + len(object.Value)
+			objects = append(objects, object)
+		}
 		if got.Next == "" {
 			return objects, sequence, nil
 		}
 		if got.Next <= from {
-			break
+			return nil, 0, fmt.Errorf("list %s: pages do not advance: %w", prefix, ErrUnexpected)
 		}
 		from = got.Next
 	}
-	return nil, 0, fmt.Errorf("list %s: pages do not advance: %w", prefix, ErrUnexpected)
+	return nil, 0, fmt.Errorf("list %s: more than %d bytes: %w", prefix, maxList, ErrUnexpected)
 }
 
 // Watch waits for changes after the sequence, at most for timeout, and returns
--- a/internal/standin/platformer/faults.go
+++ b/internal/standin/platformer/faults.go
@@ -1,6 +1,7 @@
 package platformer
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -32,6 +33,9 @@
 	Refuse Mode = "refuse" // closes the connection without an answer
 	Hang   Mode = "hang"   // answers nothing until the outage ends
 	Slow   Mode = "slow"   // answers after Delay
+	// Late is Hang, but a write takes effect when the outage ends, even if its
+	// caller has gone.
+	Late Mode = "late"
 )
 
 // Outage describes how the platform fails. Waiting watches are affected at
@@ -51,6 +55,18 @@
 		(len(outage.Zones) == 0 || slices.Contains(outage.Zones, zone))
 }
 
+func (outage Outage) check() error {
+	if !slices.Contains([]Mode{Up, Refuse, Hang, Slow, Late}, outage.Mode) {
+		return fmt.Errorf("mode %q does not exist", outage.Mode)
+	}
+	for _, kind := range outage.Kinds {
+		if !slices.Contains([]Kind{Get, List, Put, Watch, VMs}, kind) {
+			return fmt.Errorf("kind %q does not exist", kind)
+		}
+	}
+	return nil
+}
+
 // SetOutage begins, changes or ends an outage.
 func (platform *Platform) SetOutage(outage Outage) {
 	platform.mutex.Lock()
@@ -85,8 +101,12 @@
 			}
 			return
 		}
+		gone := request.Context().Done()
+		if outage.Mode == Late && kind == Put {
+			gone = nil
+		}
 		select {
-		case <-request.Context().Done():
+		case <-gone:
 			panic(http.ErrAbortHandler)
 		case <-changed:
 		}
--- a/internal/standin/platformer/platform_test.go
+++ b/internal/standin/platformer/platform_test.go
@@ -195,6 +195,8 @@
 	}
 	assert.Equal(t, control("vms", `{"name":"vm1","zone":"z1","address":"127.0.0.1:1"}`), http.StatusOK)
 	assert.Equal(t, control("vms", `{"nome":"vm1"}`), http.StatusBadRequest)
+	assert.Equal(t, control("vms", `{"name":"vm1"}`), http.StatusBadRequest)
+	assert.Equal(t, control("outage", `{"mode":"down"}`), http.StatusBadRequest)
 	list, err := fixture.client.VMs(ctx)
 	assert.NilError(t, err)
 	assert.Equal(t, len(list), 0)
--- a/internal/standin/platformer/protocol.go
+++ b/internal/standin/platformer/protocol.go
@@ -1,6 +1,7 @@
 package platformer
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -47,10 +48,17 @@
 	}
 }
 
-// guard counts the call, applies the outage and then the rate limit.
+// guard counts the call, applies the outage and then the rate limit. The body is
+// read first: the server notices only then that a waiting caller has gone.
 func (platform *Platform) guard(kind Kind, serve http.HandlerFunc) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		platform.count(kind)
+		body, err := io.ReadAll(io.LimitReader(request.Body, maxValue+1))
+		if err != nil {
+			http.Error(writer, "body was cut", http.StatusBadRequest)
+			return
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
 		platform.suffer(kind, request)
 		if !platform.allow(kind) {
 			writer.Header().Set("Retry-After", "1")
@@ -94,9 +102,9 @@
 		http.Error(writer, err.Error(), http.StatusPreconditionRequired)
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(request.Body, maxValue+1))
+	value, err := io.ReadAll(request.Body) // guard has bounded it
 	if err != nil {
-		http.Error(writer, "body was cut", http.StatusBadRequest)
+		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
 	if len(value) > maxValue {
