Test rate limits after an unknown outcome, and exchanges of large documents

Change: tests that catch the three: a rate limit that hides an earlier send of unknown outcome, an index that is sent with each part of its bodies, and a single pending index that keeps out a peer's document larger than a message.

--- a/internal/syncer/exchange_test.go
+++ b/internal/syncer/exchange_test.go
@@ -19,17 +19,20 @@
 func newStore() *syncer.Store { return syncer.New(nil, clocker.NewFake(time.Unix(0, 0))) }
 
 // pull makes the store ask the peer until it lacks nothing, and returns the
-// number of exchanges.
-func pull(store, peer *syncer.Store) int {
-	const most = 1000
-	for round := range most {
+// number of exchanges and how often the index was sent.
+func pull(store, peer *syncer.Store) (rounds, indexes int) {
+	const most = 100
+	for rounds = range most {
 		objects := peer.Newer(store.Summary())
 		if len(objects) == 0 {
-			return round
+			break
+		}
+		if objects[0].Name == configurer.IndexName {
+			indexes++
 		}
 		store.Merge(objects)
 	}
-	return most
+	return rounds, indexes
 }
 
 // document returns the objects of an index of the revision with count bodies of
@@ -55,7 +58,8 @@
 	store.Merge([]syncer.Object{{Name: "homes/s", Version: "2", Value: value(2, "b")}})
 	assert.Equal(t, len(store.Merge(stale.Newer(nil))), 0)
 	assert.Equal(t, store.Revision("homes/s"), uint64(2))
-	assert.Equal(t, pull(stale, store), 1)
+	rounds, _ := pull(stale, store)
+	assert.Equal(t, rounds, 1)
 	assert.Equal(t, stale.Digest(), store.Digest())
 	for _, object := range []syncer.Object{
 		{Name: "homes/s", Value: []byte(`{"revision":`)},
@@ -86,8 +90,9 @@
 			assert.Assert(t, ok)
 		}
 	})
-	rounds := pull(store, peer)
+	rounds, indexes := pull(store, peer)
 	assert.Assert(t, rounds >= 4 && rounds <= 6, rounds)
+	assert.Equal(t, indexes, 1, "the index is not sent with each part")
 	assert.Equal(t, len(names), 1)
 	assert.Equal(t, store.Digest(), peer.Digest())
 }
@@ -96,7 +101,8 @@
 // that reason never gets the complete older document of its peers.
 func TestIndexWithoutBodies(t *testing.T) {
 	store, peer := newStore(), newStore()
-	peer.Merge(document(1, 3, 10))
+	large := document(1, 200, 20_000)
+	peer.Merge(large)
 	newer := document(2, 3, 10)
 	store.Merge(newer[3:])
 	assert.Equal(t, store.Revision(configurer.IndexName), uint64(0))
@@ -104,13 +110,18 @@
 	assert.Equal(t, store.Revision(configurer.IndexName), uint64(1))
 	store.Merge(newer[:3])
 	assert.Equal(t, store.Revision(configurer.IndexName), uint64(2))
-	_, ok := store.Get(document(1, 3, 10)[0].Name)
-	assert.Assert(t, ok, "a few unused bodies are kept")
+	kept := 0
+	for _, body := range large[:200] {
+		if _, ok := store.Get(body.Name); ok {
+			kept++
+		}
+	}
+	assert.Equal(t, kept, 64, "unused bodies are kept up to a bound")
 	for revision := range uint64(100) {
 		store.Merge(document(revision+3, 3, 10))
 	}
-	_, ok = store.Get(document(3, 3, 10)[0].Name)
-	assert.Assert(t, !ok, "unused bodies are bounded")
+	_, ok := store.Get(document(3, 3, 10)[0].Name)
+	assert.Assert(t, !ok, "the oldest unused bodies go first")
 }
 
 // Guards against stores that end up different after they exchanged everything,
--- a/internal/syncer/store_test.go
+++ b/internal/syncer/store_test.go
@@ -201,6 +201,30 @@
 	assert.Assert(t, errors.Is(err, platformer.ErrRateLimited))
 }
 
+// busy loses the first write on its way and refuses the later ones.
+type busy struct {
+	platformer.API
+	calls int
+}
+
+func (api *busy) Put(context.Context, string, []byte, string) (string, error) {
+	api.calls++
+	if api.calls == 1 {
+		return "", errors.New("connection closed")
+	}
+	return "", platformer.ErrRateLimited
+}
+
+// Guards against a rate limit that hides that an earlier send of the write may
+// still take effect.
+func TestRateLimitAfterAnUnknownOutcome(t *testing.T) {
+	fixture := start(t)
+	fixture.store.Clock, fixture.store.API = clocker.System{}, &busy{API: fixture.client}
+	_, err := fixture.store.Put(t.Context(), "groups/g", value(1, "a"), "")
+	assert.ErrorContains(t, err, "outcome is unknown")
+	assert.Assert(t, !errors.Is(err, platformer.ErrRateLimited))
+}
+
 // Guards against a document that is in force late, in part, or not at all on
 // the way from an editor to the store of a VM, also when the new index refers to
 // an old body that only the platform still has.
