Report an edit as unknown only if one of its writes was uncertain

Cause: a trial with 30 editors of 30 sections at once ended with "edit may have been accepted", although every write had been refused with 412. After a refused write the editor looked for its ID in the index, which remembers 32 writes, and more than 32 had followed during its pause.

Ruled out: a longer memory in the index, which every VM receives with each change and which only moves the bound.

Change: a write that was refused and was never sent with an unknown outcome is forgotten; the edit starts again from the newest index.

Conclusion: TestConflictThenManyRevisions covers it.

--- a/internal/configurer/editor.go
+++ b/internal/configurer/editor.go
@@ -127,7 +127,7 @@
 	if editor.WriteID != nil {
 		edit.writeID = editor.WriteID()
 	}
-	var open *attempt // the last write, while its outcome is unknown
+	var open *attempt // a write whose outcome is unknown
 	for pause := firstPause; ; pause = min(2*pause, maxPause) {
 		result, done, err := editor.step(ctx, edit, &open)
 		if done {
@@ -135,7 +135,7 @@
 		}
 		if sleepErr := clocker.Sleep(ctx, editor.Clock, pause/2+rand.N(pause)); sleepErr != nil {
 			outcome := ErrNotAccepted
-			if open != nil && open.uncertain {
+			if open != nil {
 				outcome = ErrOutcomeUnknown
 			}
 			return Result{}, fmt.Errorf("section %q: %w: %w", edit.section, outcome, err)
@@ -177,10 +177,11 @@
 	case errors.Is(err, platformer.ErrTooLarge):
 		return Result{}, true, fmt.Errorf("section %q: index: %w: %w", edit.section, ErrNotAccepted, err)
 	default:
-		// After a conflict the index is read again too: an earlier send of the
-		// same write may be what changed it.
 		definite := errors.Is(err, platformer.ErrConflict) || errors.Is(err, platformer.ErrRateLimited)
 		(*open).uncertain = (*open).uncertain || !definite
+		if !(*open).uncertain {
+			*open = nil
+		}
 		return Result{}, false, err
 	}
 }
--- a/internal/configurer/editor_test.go
+++ b/internal/configurer/editor_test.go
@@ -251,6 +251,39 @@
 	assert.Equal(t, index.Revision, uint64(2))
 }
 
+// outrun lets others make many revisions just before the first write of the
+// index.
+type outrun struct {
+	platformer.API
+	once sync.Once
+	act  func()
+}
+
+func (api *outrun) Put(ctx context.Context, name string, value []byte, version string) (string, error) {
+	if name == configurer.IndexName {
+		api.once.Do(api.act)
+	}
+	return api.API.Put(ctx, name, value, version)
+}
+
+// Guards against a refused write that is reported as unknown because more
+// revisions followed than the index remembers.
+func TestConflictThenManyRevisions(t *testing.T) {
+	_, client, stop := startPlatform(t)
+	defer stop()
+	const others = 40
+	ctx, other := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	api := &outrun{API: client, act: func() {
+		for number := range others {
+			_, err := other.Apply(ctx, "b", fmt.Appendf(nil, `{"team":"t%d"}`, number), uint64(number))
+			assert.NilError(t, err)
+		}
+	}}
+	result, err := (&configurer.Editor{API: api, Clock: hastyClock{}}).Apply(ctx, "a", sectionBody("a", "one"), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, uint64(others+1))
+}
+
 type accepted struct {
 	section, team string
 	base          uint64
