Use plain names in the editor and the stand-in

Cause: a few names (verdict, judge, suffer, tally, spare) were figurative.

Change: renamed them; a test that the stand-in's process stops when told to.

--- a/internal/configurer/editor.go
+++ b/internal/configurer/editor.go
@@ -152,10 +152,10 @@
 	}
 	if last := *open; last != nil && current.version != last.version {
 		// The index has moved on, so the attempt cannot take effect any more.
-		switch current.index.judge(last.revision, edit.writeID) {
-		case wasWritten:
+		switch current.index.outcomeOf(last.revision, edit.writeID) {
+		case writeDone:
 			return Result{Revision: last.revision, Changed: true}, true, nil
-		case forgotten:
+		case writeForgotten:
 			return Result{}, true, fmt.Errorf("section %q: %d revisions followed before the answer was read back: %w",
 				edit.section, current.index.Revision-last.revision, ErrOutcomeUnknown)
 		}
--- a/internal/configurer/editor_test.go
+++ b/internal/configurer/editor_test.go
@@ -21,10 +21,10 @@
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
-// hastyClock shortens pauses to a thousandth. Deadlines stay as they are.
-type hastyClock struct{ clocker.System }
+// fastClock shortens pauses to a thousandth. Deadlines stay as they are.
+type fastClock struct{ clocker.System }
 
-func (clock hastyClock) NewTimer(d time.Duration) clocker.Timer {
+func (clock fastClock) NewTimer(d time.Duration) clocker.Timer {
 	return clock.System.NewTimer(d / 1000)
 }
 
@@ -62,7 +62,7 @@
 func TestEditOfAnOldVersion(t *testing.T) {
 	_, client, stop := startPlatform(t)
 	defer stop()
-	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
 	first, err := editor.Apply(ctx, "a", sectionBody("a", "one"), 0)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, first, configurer.Result{Revision: 1, Changed: true})
@@ -93,11 +93,11 @@
 func TestEditThatMakesTheDocumentInvalid(t *testing.T) {
 	platform, client, stop := startPlatform(t)
 	defer stop()
-	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
 	_, err := editor.Apply(ctx, "a", sectionBody("a", "one"), 0)
 	assert.NilError(t, err)
 	for _, body := range []string{
-		string(sectionBody("a", "thief")),
+		string(sectionBody("a", "other")),
 		`{"team":"a","zones":[{"name":"nowhere","lost":true}]}`,
 		`{"team":"a","unknown":1}`,
 	} {
@@ -117,7 +117,7 @@
 func TestEditDuringAnOutage(t *testing.T) {
 	platform, client, stop := startPlatform(t)
 	defer stop()
-	editor := &configurer.Editor{API: client, Clock: hastyClock{}}
+	editor := &configurer.Editor{API: client, Clock: fastClock{}}
 	short := func() context.Context {
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		t.Cleanup(cancel)
@@ -148,7 +148,7 @@
 func TestPlatformThatLostWrites(t *testing.T) {
 	_, client, stop := startPlatform(t)
 	defer stop()
-	editor := &configurer.Editor{API: client, Clock: hastyClock{}, Known: func() uint64 { return 5 }}
+	editor := &configurer.Editor{API: client, Clock: fastClock{}, Known: func() uint64 { return 5 }}
 	_, err := editor.Apply(t.Context(), "a", sectionBody("a", "one"), 0)
 	assert.Assert(t, errors.Is(err, configurer.ErrNotAccepted))
 }
@@ -158,7 +158,7 @@
 func TestWriteThatTakesEffectLate(t *testing.T) {
 	platform, client, stop := startPlatform(t)
 	defer stop()
-	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
 	_, err := editor.Apply(ctx, "a", sectionBody("a", "one"), 0)
 	assert.NilError(t, err)
 	_, err = client.Put(ctx, configurer.BodyName(sectionBody("a", "two")), sectionBody("a", "two"), "")
@@ -168,7 +168,7 @@
 	api := &lateIndex{client, platform}
 	short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 	defer cancel()
-	_, err = (&configurer.Editor{API: api, Clock: hastyClock{}}).Apply(short, "a", sectionBody("a", "two"), 1)
+	_, err = (&configurer.Editor{API: api, Clock: fastClock{}}).Apply(short, "a", sectionBody("a", "two"), 1)
 	assert.Assert(t, errors.Is(err, configurer.ErrOutcomeUnknown), err)
 	platform.SetOutage(standin.Outage{})
 	client.Timeout = 5 * time.Second
@@ -199,7 +199,7 @@
 func TestInvalidSectionCanBeRepaired(t *testing.T) {
 	_, client, stop := startPlatform(t)
 	defer stop()
-	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
 	old := []byte(`{"team":"a","fieldOfAnotherVersion":1}`)
 	_, err := client.Put(ctx, configurer.BodyName(old), old, "")
 	assert.NilError(t, err)
@@ -238,12 +238,12 @@
 func TestLostAnswerThenOvertaken(t *testing.T) {
 	_, client, stop := startPlatform(t)
 	defer stop()
-	ctx, other := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	ctx, other := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
 	api := &overtaken{API: client, act: func() {
 		_, err := other.Apply(ctx, "a", sectionBody("a", "second"), 1)
 		assert.NilError(t, err)
 	}}
-	result, err := (&configurer.Editor{API: api, Clock: hastyClock{}}).Apply(ctx, "a", sectionBody("a", "first"), 0)
+	result, err := (&configurer.Editor{API: api, Clock: fastClock{}}).Apply(ctx, "a", sectionBody("a", "first"), 0)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, result, configurer.Result{Revision: 1, Changed: true})
 	index, err := readIndex(ctx, client)
@@ -272,14 +272,14 @@
 	_, client, stop := startPlatform(t)
 	defer stop()
 	const others = 40
-	ctx, other := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	ctx, other := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
 	api := &outrun{API: client, act: func() {
 		for number := range others {
 			_, err := other.Apply(ctx, "b", fmt.Appendf(nil, `{"team":"t%d"}`, number), uint64(number))
 			assert.NilError(t, err)
 		}
 	}}
-	result, err := (&configurer.Editor{API: api, Clock: hastyClock{}}).Apply(ctx, "a", sectionBody("a", "one"), 0)
+	result, err := (&configurer.Editor{API: api, Clock: fastClock{}}).Apply(ctx, "a", sectionBody("a", "one"), 0)
 	assert.NilError(t, err)
 	assert.Equal(t, result.Revision, uint64(others+1))
 }
@@ -318,7 +318,7 @@
 	for number := range editors {
 		plan := rapid.SliceOfN(rapid.IntRange(0, sections-1), 1, 5).Draw(t, "plan")
 		group.Go(func() error {
-			editor := &configurer.Editor{API: &flaky{API: client, every: failing}, Clock: hastyClock{}}
+			editor := &configurer.Editor{API: &flaky{API: client, every: failing}, Clock: fastClock{}}
 			for step, target := range plan {
 				index, err := readIndex(ctx, client)
 				if err != nil {
--- a/internal/configurer/index.go
+++ b/internal/configurer/index.go
@@ -92,29 +92,29 @@
 	return next
 }
 
-// verdict is what an index says about a write.
-type verdict int
+// writeOutcome is what an index says about a write.
+type writeOutcome int
 
 const (
-	notWritten verdict = iota
-	wasWritten
-	forgotten // the write is older than the index remembers
+	writeAbsent writeOutcome = iota
+	writeDone
+	writeForgotten // the write is older than the index remembers
 )
 
-// judge tells whether the write that was to make the revision took effect.
-func (index Index) judge(revision uint64, writeID string) verdict {
+// outcomeOf tells whether the write that was to make the revision took effect.
+func (index Index) outcomeOf(revision uint64, writeID string) writeOutcome {
 	for _, write := range index.Recent {
 		if write.Revision == revision {
 			if write.WriteID == writeID {
-				return wasWritten
+				return writeDone
 			}
-			return notWritten
+			return writeAbsent
 		}
 	}
 	if index.Revision < revision {
-		return notWritten
+		return writeAbsent
 	}
-	return forgotten
+	return writeForgotten
 }
 
 // without returns the index without the section.
--- a/internal/standin/platformer/control.go
+++ b/internal/standin/platformer/control.go
@@ -40,10 +40,10 @@
 }
 
 func (platform *Platform) count(kind Kind) {
-	platform.tally(func(counters *Counters) { counters.Calls[kind]++ })
+	platform.updateCounters(func(counters *Counters) { counters.Calls[kind]++ })
 }
 
-func (platform *Platform) tally(change func(*Counters)) {
+func (platform *Platform) updateCounters(change func(*Counters)) {
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
 	change(&platform.counters)
@@ -66,7 +66,7 @@
 		answerJSON(writer, platform.Counters())
 	}).Methods(http.MethodGet)
 	router.HandleFunc("/counters", func(http.ResponseWriter, *http.Request) {
-		platform.tally(func(counters *Counters) { *counters = newCounters() })
+		platform.updateCounters(func(counters *Counters) { *counters = newCounters() })
 	}).Methods(http.MethodDelete)
 	router.HandleFunc("/outage", control(func(outage Outage) error {
 		if err := outage.check(); err != nil {
--- a/internal/standin/platformer/faults.go
+++ b/internal/standin/platformer/faults.go
@@ -75,9 +75,9 @@
 	platform.signal()
 }
 
-// suffer applies the outage to the call. It returns when the call may go on,
+// applyOutage applies the outage to the call. It returns when the call may go on,
 // and closes the connection otherwise.
-func (platform *Platform) suffer(kind Kind, request *http.Request) {
+func (platform *Platform) applyOutage(kind Kind, request *http.Request) {
 	zone := mux.Vars(request)["zone"]
 	counted := false
 	for {
--- a/internal/standin/platformer/platform_test.go
+++ b/internal/standin/platformer/platform_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -210,3 +211,12 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(list), 0)
 }
+
+// Guards against a process that does not stop when it is told to.
+func TestServeStops(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, standin.New(clocker.System{}, standin.DefaultSettings()).Serve(ctx, listener))
+}
--- a/internal/standin/platformer/protocol.go
+++ b/internal/standin/platformer/protocol.go
@@ -59,7 +59,7 @@
 			return
 		}
 		request.Body = io.NopCloser(bytes.NewReader(body))
-		platform.suffer(kind, request)
+		platform.applyOutage(kind, request)
 		if !platform.allow(kind) {
 			writer.Header().Set("Retry-After", "1")
 			http.Error(writer, "rate limit", http.StatusTooManyRequests)
@@ -108,7 +108,7 @@
 		return
 	}
 	if len(value) > maxValue {
-		platform.tally(func(counters *Counters) { counters.TooLarge++ })
+		platform.updateCounters(func(counters *Counters) { counters.TooLarge++ })
 		http.Error(writer, "value is larger than 1000000 bytes", http.StatusRequestEntityTooLarge)
 		return
 	}
@@ -170,7 +170,7 @@
 			expired = true
 		case <-changed:
 		}
-		platform.suffer(Watch, request)
+		platform.applyOutage(Watch, request)
 	}
 }
 
--- a/internal/syncer/bodies.go
+++ b/internal/syncer/bodies.go
@@ -73,7 +73,7 @@
 		if !store.used[name] && !store.expected[name] {
 			count++
 			size += len(store.bodies[name].Value)
-			if count > maxSpareBodies || size > maxSpareBytes {
+			if count > maxUnreferencedBodies || size > maxUnreferencedBytes {
 				delete(store.bodies, name)
 				continue
 			}
--- a/internal/syncer/store.go
+++ b/internal/syncer/store.go
@@ -17,8 +17,8 @@
 const (
 	// A body may arrive before the index that refers to it. These bounds limit
 	// the bodies that no index refers to; one that was dropped is read again.
-	maxSpareBodies = 64
-	maxSpareBytes  = 16 << 20
+	maxUnreferencedBodies = 64
+	maxUnreferencedBytes  = 16 << 20
 
 	// maxPending is above 1 because a peer may have a complete index that is
 	// older than one whose bodies the platform no longer delivers.
