--- /dev/null
+++ b/internal/heartbeater/network_test.go
@@ -0,0 +1,130 @@
+package heartbeater
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/internal/linker"
+	"github.com/cuminstream/cuminstream/internal/platformer"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/leaser"
+	"github.com/cuminstream/cuminstream/pkg/tracker"
+)
+
+// network connects heartbeaters in one process without links. Steps of a fake
+// clock run them in turn, so that a run is the same each time.
+type network struct {
+	t     testing.TB
+	clock *clocker.Fake
+	nodes map[string]*node
+	order []string
+}
+
+// node is a VM of the network.
+type node struct {
+	*Heartbeater
+	handlers map[string]linker.CallHandler
+	seen     *tracker.Snapshot
+	down     bool
+	payload  int
+	received map[string][]int
+}
+
+func newNetwork(t testing.TB) *network {
+	return &network{t: t, clock: clocker.NewFake(time.Unix(1000, 0)), nodes: map[string]*node{}}
+}
+
+// caller makes calls from one VM of the network.
+type caller struct {
+	network *network
+	from    string
+}
+
+var errDown = errors.New("VM is down")
+
+func (caller caller) Call(ctx context.Context, vm, method string, body, answer any) error {
+	target := caller.network.nodes[vm]
+	if target == nil || target.down || caller.network.nodes[caller.from].down {
+		return errDown
+	}
+	data, err := cbor.Marshal(body)
+	assert.NilError(caller.network.t, err)
+	value, err := target.handlers[method](ctx, caller.from, func(into any) error { return cbor.Unmarshal(data, into) })
+	if err != nil {
+		return err
+	}
+	data, err = cbor.Marshal(value)
+	assert.NilError(caller.network.t, err)
+	return cbor.Unmarshal(data, answer)
+}
+
+// Handle implements linker.Registrar.
+func (node *node) Handle(method string, handler linker.CallHandler) { node.handlers[method] = handler }
+
+// start adds a VM, or a new process of a VM that exists.
+func (network *network) start(name, zone string, incarnation uint64, seeds ...platformer.VM) *node {
+	made := &node{handlers: map[string]linker.CallHandler{}, payload: 1, received: map[string][]int{}}
+	timing := leaser.DefaultTiming()
+	made.Heartbeater = &Heartbeater{
+		Self:   tracker.VM{Name: name, Zone: zone, Address: name + ":1", Incarnation: incarnation},
+		Caller: caller{network, name}, Clock: network.clock, Timing: timing, Seeds: seeds,
+		Tracker: tracker.New(tracker.Config{Self: name, Clock: network.clock, Heartbeat: timing.Heartbeat, Suspicion: timing.Suspicion}),
+		Payload: func() any { return made.payload },
+		Receive: func(from string, decode func(any) error) {
+			var payload int
+			assert.NilError(network.t, decode(&payload))
+			made.received[from] = append(made.received[from], payload)
+		},
+	}
+	made.Register(made)
+	made.useSeeds()
+	if network.nodes[name] == nil {
+		network.order = append(network.order, name)
+	}
+	network.nodes[name] = made
+	return made
+}
+
+// run passes the time in heartbeat intervals.
+func (network *network) run(duration time.Duration) {
+	for ; duration > 0; duration -= leaser.DefaultTiming().Heartbeat {
+		for _, name := range network.order {
+			node := network.nodes[name]
+			if node.down {
+				continue
+			}
+			node.Tracker.Evaluate()
+			var group errgroup.Group
+			group.SetLimit(1)
+			node.seen = node.tick(network.t.Context(), &group, node.seen)
+			assert.NilError(network.t, group.Wait())
+		}
+		network.clock.Advance(leaser.DefaultTiming().Heartbeat)
+	}
+}
+
+func (network *network) member(viewer, name string) tracker.Member {
+	member, ok := network.nodes[viewer].Tracker.Snapshot().Member(name)
+	assert.Assert(network.t, ok, "%s does not know %s", viewer, name)
+	return member
+}
+
+func vmName(index int) string { return fmt.Sprintf("vm%03d", index) }
+
+// everyone checks a member as all other VMs see it.
+func (network *network) everyone(name string, check func(member tracker.Member) bool) {
+	network.t.Helper()
+	for viewer, node := range network.nodes {
+		if viewer != name && !node.down {
+			member := network.member(viewer, name)
+			assert.Assert(network.t, check(member), "%s sees %+v", viewer, member)
+		}
+	}
+}
--- a/internal/linker/call_server.go
+++ b/internal/linker/call_server.go
@@ -95,7 +95,7 @@
 // begin runs the call in its own goroutine. It waits while the bound on
 // concurrent calls is reached, so that TCP slows the peer down.
 func (link *callServer) begin(calls *errgroup.Group, id uint64, head callHead, body []byte, buffer *bytes.Buffer) error {
-	ctx, cancel := withLeft(link.context, link.server.Clock, head.Left)
+	ctx, cancel := withLeft(link.context, link.server.Clock, time.Duration(head.Left)*time.Millisecond)
 	link.mutex.Lock()
 	_, duplicate := link.running[id]
 	if !duplicate {
@@ -220,14 +220,14 @@
 	}
 }
 
-// left returns the time until the context's deadline, at least a nanosecond, or
+// left returns the milliseconds until the context's deadline, at least one, or
 // 0 when there is none.
-func left(ctx context.Context, clock clocker.Clock) time.Duration {
+func left(ctx context.Context, clock clocker.Clock) int64 {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return 0
 	}
-	return max(deadline.Sub(clock.Now()), 1)
+	return max(deadline.Sub(clock.Now()).Milliseconds(), 1)
 }
 
 // withLeft returns a context that ends after the time that the caller has left.
--- a/internal/linker/message.go
+++ b/internal/linker/message.go
@@ -95,8 +95,8 @@
 
 // callHead is the typed part of kindCall. The encoded body follows it.
 type callHead struct {
-	Method string        `cbor:"1,keyasint"`
-	Left   time.Duration `cbor:"2,keyasint,omitempty"` // until the deadline; 0 for none
+	Method string `cbor:"1,keyasint"`
+	Left   int64  `cbor:"2,keyasint,omitempty"` // milliseconds until the deadline; 0 for none
 }
 
 var (
--- a/internal/linker/protocol_test.go
+++ b/internal/linker/protocol_test.go
@@ -334,7 +334,7 @@
 		f.Add(message(f, frame{Kind: kind, Sequence: 1, Request: 1, Last: true}, requestHead{
 			Method: "GET", HasBody: true, Header: headerBlock("A:b\n"), Left: time.Second,
 		}))
-		f.Add(message(f, callFrame{Kind: kind, ID: 1}, callHead{Method: "ping", Left: time.Second}, map[string]int{"a": 1}))
+		f.Add(message(f, callFrame{Kind: kind, ID: 1}, callHead{Method: "ping", Left: 1000}, map[string]int{"a": 1}))
 	}
 	f.Add(message(f, frame{Kind: kindFailure, Sequence: 1}, failure{Kind: answerer.Internal, RetryAfter: 1}))
 	server := &Server{Handler: &countingHandler{}}
