Tell a new holder what the upstreams still run

After an unplanned takeover the new holder did not know the requests in flight of the lost one. A key whose shard moved at that time could run at two upstreams, and slots were counted as free that were taken. Waiting for the longest deadline was ruled out, because uploads have deadlines of minutes.

Upstreams now list what they run in the answer to a grant or probe. The holder takes these slots and keys as inherited when the upstream begins to be served, until it does not list them any more. A frozen upstream cannot answer and stays a stated limit.

--- a/internal/dispatcher/admission.go
+++ b/internal/dispatcher/admission.go
@@ -103,6 +103,7 @@
 
 func (dispatcher *Dispatcher) newTicket(tenure *tenure, request *carrier.Request) *ticket {
 	own := *request
+	own.Group = dispatcher.Group
 	if own.Body != nil {
 		if _, ok := own.Body.(io.Seeker); !ok {
 			own.Body = &touchedBody{Reader: own.Body}
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -22,7 +22,6 @@
 // attempt sends a ticket that has a slot. The second result asks for another
 // turn: the ticket then waits for a slot again.
 func (dispatcher *Dispatcher) attempt(ctx context.Context, ticket *ticket) (*carrier.Response, bool, *answerer.Error) {
-	ticket.attempts++
 	if err := dispatcher.copyIntent(ticket); err != nil {
 		dispatcher.free(ticket, -1)
 		return nil, false, dispatcher.withdraw(ticket, err)
@@ -44,12 +43,14 @@
 		return nil, false, dispatcher.withdraw(ticket, gone)
 	}
 	asserter.That(ticket.request.Idempotent || !ticket.mayHaveRun, asserter.AtMostOnce, "request %s may have run and is sent again", ticket.id)
+	ticket.attempts++
 	response, err := dispatcher.Upstreams.Send(sendContext, ticket.spec, ticket.request, ticket.tenure.term)
 	if err == nil {
 		return dispatcher.answered(ticket, response, cancel), false, nil
 	}
+	given := sendContext.Err()
 	cancel()
-	return dispatcher.failed(ctx, ticket, err)
+	return dispatcher.failed(ctx, ticket, err, given)
 }
 
 // copyIntent copies the intent to run a non-idempotent request to a majority.
@@ -62,11 +63,22 @@
 	defer cancel()
 	if err := ticket.tenure.lease.Copy(ctx, replicator.Entries{Requests: []deduper.Entry{ticket.entry}}); err != nil {
 		copyFailures.WithLabelValues("intent").Inc()
-		return answerer.New(answerer.NotRunUnavailable, "the intent did not reach a majority: %w", err)
+		return answerer.New(dispatcher.kindOf(ticket), "the intent did not reach a majority: %w", err)
 	}
 	return nil
 }
 
+// kindOf returns the kind of a refusal that may follow from the end of the
+// ticket's tenure.
+func (dispatcher *Dispatcher) kindOf(ticket *ticket) answerer.Kind {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	if ticket.tenure.ended != "" {
+		return ticket.tenure.ended
+	}
+	return answerer.NotRunUnavailable
+}
+
 // sendContext returns the context of the send. A non-idempotent request runs to
 // its end even when its caller leaves, so that its outcome is known.
 func (dispatcher *Dispatcher) sendContext(ctx context.Context, ticket *ticket) (context.Context, context.CancelFunc) {
@@ -83,7 +95,7 @@
 	defer dispatcher.mutex.Unlock()
 	now := dispatcher.Clock.Now()
 	if dispatcher.tenure != ticket.tenure {
-		return false, answerer.New(answerer.NotRunUnavailable, "this VM does not hold group %s any more", dispatcher.Group)
+		return false, answerer.New(ticket.tenure.ended, "this VM does not hold group %s any more", dispatcher.Group)
 	}
 	if !ticket.request.Deadline.After(now) {
 		return false, answerer.New(answerer.NotRunDeadline, "the deadline passed before the send")
@@ -134,11 +146,12 @@
 	return nil, true, nil
 }
 
-// failed classifies the error of a send.
-func (dispatcher *Dispatcher) failed(ctx context.Context, ticket *ticket, err error) (*carrier.Response, bool, *answerer.Error) {
+// failed classifies the error of a send. given is the reason for which the
+// holder itself gave the send up.
+func (dispatcher *Dispatcher) failed(ctx context.Context, ticket *ticket, err, given error) (*carrier.Response, bool, *answerer.Error) {
 	var unsent *NotSent
 	if errors.As(err, &unsent) {
-		return dispatcher.notSent(ticket, unsent)
+		return dispatcher.notSent(ticket, unsent, given)
 	}
 	ticket.mayHaveRun = true
 	if !ticket.request.Idempotent {
@@ -154,10 +167,12 @@
 }
 
 // notSent handles a request that the upstream has provably not started.
-func (dispatcher *Dispatcher) notSent(ticket *ticket, unsent *NotSent) (*carrier.Response, bool, *answerer.Error) {
+func (dispatcher *Dispatcher) notSent(ticket *ticket, unsent *NotSent, given error) (*carrier.Response, bool, *answerer.Error) {
 	switch unsent.Reason {
 	case Dial, Fenced:
-		dispatcher.doubt(ticket.upstream)
+		if given == nil {
+			dispatcher.doubt(ticket.upstream)
+		}
 		return dispatcher.again(ticket, answerer.New(answerer.NotRunUnavailable, "upstream %s: %w", ticket.spec.Name, unsent))
 	case Shed:
 		shed := answerer.New(answerer.NotRunShed, "upstream %s: %w", ticket.spec.Name, unsent).WithRetryAfter(unsent.RetryAfter)
--- a/internal/dispatcher/contract.go
+++ b/internal/dispatcher/contract.go
@@ -45,6 +45,15 @@
 	Stamp    int64
 	Instance string // changes with each start of the upstream; may be empty
 	Draining bool
+	// Running are the requests that the upstream runs. It may be empty.
+	Running []Running
+}
+
+// Running is a request that an upstream runs.
+type Running struct {
+	ID   string
+	Key  string
+	Left time.Duration // until the request's deadline
 }
 
 // Reason tells why a request was provably not started, or a grant refused.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -77,6 +77,7 @@
 	decide   chan struct{}
 	persist  chan struct{}
 	watching time.Time // last tick of the watch
+	ended    answerer.Kind
 }
 
 // Run keeps the dispatcher until ctx is done.
@@ -167,6 +168,9 @@
 	if upstream == nil || left.Left <= 0 {
 		return
 	}
+	if _, known := upstream.inherited[left.ID]; known {
+		return
+	}
 	for ticket := range upstream.inFlight {
 		if ticket.id == left.ID {
 			return
@@ -223,6 +227,7 @@
 // finishTenure refuses everything that was not sent yet.
 func (dispatcher *Dispatcher) finishTenure(kind answerer.Kind) {
 	dispatcher.record(timeliner.Event{Kind: "dispatchEnded", Detail: string(kind)})
+	dispatcher.tenure.ended = kind
 	dispatcher.tenure.cancel()
 	dispatcher.tenure = nil
 	for waiting := range dispatcher.parked {
--- a/internal/dispatcher/failures_test.go
+++ b/internal/dispatcher/failures_test.go
@@ -340,3 +340,71 @@
 		bench.end(successor)
 	})
 }
+
+// Guards against a new holder that does not know what the upstreams still run
+// for the lost one: the key would start elsewhere, and the slots would be
+// exceeded.
+func TestTakeOverFindsRequestsInFlight(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		run(t, checks, three, func(t *testing.T, bench *bench) {
+			key, first := bench.keyOf("u1"), bench.lease
+			long := bench.request("b1", key, queuer.Transaction)
+			long.Header.Set(standin.HeaderServiceTime, "2s")
+			running := bench.async(long)
+			first.set(func() { first.expired = true })
+			moved := bench.dispatcher.Status().Shards
+			moved[long.Shard] = "u2"
+			successor := bench.successor()
+			assert.NilError(t, successor.Begin(t.Context(), &lease{term: 2}, replicator.State{
+				Assignment: replicator.Assignment{Term: 1, Version: 9, Shards: moved},
+			}))
+			bench.sleep(100 * time.Millisecond)
+			assert.Equal(t, taken(successor, "u1"), 1)
+			got := sendTo(successor, bench.request("l1", key, queuer.Lookup))
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.upstream, "u2")
+			assert.NilError(t, (<-running).err)
+			assert.Assert(t, taken(successor, "u1") == 0)
+			bench.end(successor)
+		})
+	}
+}
+
+// Guards against a takeover that waits for the grants of an upstream whose
+// process has ended, and against one that does not wait for a frozen one.
+func TestTakeOverWithDeadOrFrozenUpstream(t *testing.T) {
+	for name, fail := range map[string]func(*bench){
+		"dead":   func(bench *bench) { bench.kill("u1") },
+		"frozen": func(bench *bench) { bench.freeze("u1", true) },
+	} {
+		run(t, true, three, func(t *testing.T, bench *bench) {
+			key, shards := bench.keyOf("u2"), bench.dispatcher.Status().Shards
+			fail(bench)
+			bench.dispatcher.End(false)
+			bench.begin(&lease{term: 2}, replicator.State{Assignment: replicator.Assignment{Term: 1, Version: 9, Shards: shards}})
+			waited := servedAgain(bench, key) + 100*time.Millisecond
+			assert.Equal(t, waited < 200*time.Millisecond, name == "dead", "%s: %v", name, waited)
+			assert.Assert(t, waited < time.Second, "%s: %v", name, waited)
+		})
+	}
+}
+
+// Guards against a suspect that stops its upstream while a long upload runs.
+func TestSuspectDoesNotWaitForLongWork(t *testing.T) {
+	run(t, true, []string{"u1", "u2"}, func(t *testing.T, bench *bench) {
+		crash := bench.request("c1", bench.keyOf("u1"), queuer.Transaction)
+		crash.Fingerprint = 77
+		crash.Header.Set(standin.HeaderCrash, "yes")
+		bench.send(crash)
+		bench.sleep(3 * time.Second)
+		upload := bench.request("up1", "k", queuer.Upload)
+		upload.Header.Set(standin.HeaderServiceTime, "4s")
+		running := bench.async(upload)
+		suspect := bench.request("c2", "k", queuer.Lookup)
+		suspect.Fingerprint = 77
+		refused := bench.async(suspect)
+		assert.Assert(t, servedAgain(bench, "k") < time.Second)
+		assert.Equal(t, (<-refused).kind, answerer.NotRunOverloaded)
+		assert.NilError(t, (<-running).err)
+	})
+}
--- a/internal/dispatcher/renewals.go
+++ b/internal/dispatcher/renewals.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"syscall"
 	"time"
 
+	"github.com/cuminstream/cuminstream/internal/replicator"
 	"github.com/cuminstream/cuminstream/internal/timeliner"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
@@ -74,9 +76,14 @@
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	var refused *Refused
-	if dispatcher.tenure != tenure || err != nil && !errors.As(err, &refused) {
+	if dispatcher.tenure != tenure {
 		return
 	}
+	if err != nil && !errors.As(err, &refused) {
+		known.absent = known.absent || errors.Is(err, syscall.ECONNREFUSED)
+		return
+	}
+	known.absent = false
 	now := dispatcher.Clock.Now()
 	known.lastAnswer = now
 	known.stamp = stamp{value: reply.Stamp, sent: renewal.sent, received: now}
@@ -97,6 +104,7 @@
 	if known.health == lost && len(tenure.unsaved) > 0 {
 		return // served again only once the losses are stored
 	}
+	dispatcher.reported(known, reply.Running, now)
 	known.confirm(renewal)
 	dispatcher.ownership.release(known.spec.Name, renewal.releasing)
 	if len(renewal.releasing) > 0 {
@@ -134,6 +142,32 @@
 	dispatcher.tenure.wake()
 }
 
+// reported compares the requests that the upstream runs with those that are in
+// flight. When the upstream begins to be served, the others are of a former
+// holder or were cut: their slots and keys stay taken until they are not
+// reported any more.
+func (dispatcher *Dispatcher) reported(known *upstream, running []Running, now time.Time) {
+	still := map[string]bool{}
+	for _, request := range running {
+		still[request.ID] = true
+		if known.health != up && request.ID != "" {
+			dispatcher.inherit(replicator.InFlight{
+				ID: request.ID, Key: request.Key, Upstream: known.spec.Name, Left: request.Left,
+			}, now)
+			if inherited, ok := known.inherited[request.ID]; ok {
+				inherited.reported = true
+				known.inherited[request.ID] = inherited
+			}
+		}
+	}
+	known.applySlots()
+	for id, inherited := range known.inherited {
+		if inherited.reported && !still[id] {
+			dispatcher.disinherit(known, id)
+		}
+	}
+}
+
 // survived decides the breakages that the upstream has outlived: those before
 // the answered renewal was sent.
 func (dispatcher *Dispatcher) survived(known *upstream, sent time.Time) {
--- a/internal/dispatcher/slots.go
+++ b/internal/dispatcher/slots.go
@@ -42,7 +42,7 @@
 	if ticket.losses() > 0 {
 		upstream.solo = ticket
 		if upstream.taken() > 0 {
-			ticket.phase = solo
+			ticket.phase, ticket.started = solo, dispatcher.Clock.Now()
 			return
 		}
 	}
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -78,6 +78,7 @@
 	coldSince  time.Time // zero when warm
 	speed      speed
 	relative   float64       // speed relative to the group's median
+	absent     bool          // nothing listens at its address: a former process has ended
 	joined     bool          // was added while the group was held
 	kick       chan struct{} // asks for a renewal at once
 }
@@ -91,6 +92,7 @@
 type inheritance struct {
 	key      string
 	deadline time.Time
+	reported bool // by the upstream, whose answers then tell the end
 }
 
 // breakage is a request whose connection broke. Whether the request took the
@@ -117,6 +119,7 @@
 	upstream.seq, upstream.confirmedSeq = 0, 0
 	upstream.stamp, upstream.validUntil, upstream.possibleUntil = stamp{}, time.Time{}, time.Time{}
 	upstream.broken, upstream.solo, upstream.joined = nil, nil, false
+	upstream.absent = false
 	upstream.renewQueue(clock, policies)
 }
 
--- a/internal/dispatcher/watch.go
+++ b/internal/dispatcher/watch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cuminstream/cuminstream/internal/timeliner"
+	"github.com/cuminstream/cuminstream/pkg/answerer"
 )
 
 const (
@@ -11,6 +12,9 @@
 	// pauseGap between two ticks means that this process was paused. What it
 	// did not hear meanwhile says nothing about the upstreams.
 	pauseGap = 4 * watchPeriod
+	// soloPatience is how long a suspect may keep other requests waiting until
+	// it is alone. A long upload would otherwise stop its upstream.
+	soloPatience = 500 * time.Millisecond
 	// fenceMargin covers the difference between the speeds of two clocks.
 	fenceMargin = 50 * time.Millisecond
 )
@@ -57,7 +61,7 @@
 	if upstream.health != lost && now.Sub(upstream.lastAnswer) >= lossTimeout {
 		dispatcher.lose(upstream, "no answer")
 	}
-	if upstream.health == lost && !now.Before(upstream.possibleUntil) {
+	if upstream.health == lost && (upstream.absent || !now.Before(upstream.possibleUntil)) {
 		if places := dispatcher.ownership.releasing(name, nil); len(places) > 0 {
 			dispatcher.ownership.release(name, places)
 			dispatcher.wakeAll()
@@ -68,6 +72,10 @@
 			dispatcher.disinherit(upstream, id)
 		}
 	}
+	if suspect := upstream.solo; suspect != nil && suspect.phase == solo && now.Sub(suspect.started) >= soloPatience {
+		dispatcher.refuse(suspect, answerer.New(answerer.NotRunOverloaded,
+			"upstreams were lost while they ran this request; it runs only alone, and %s is busy", name).WithRetryAfter(unavailableRetry))
+	}
 	if upstream.closed(now) {
 		dispatcher.reroute(upstream, func(*ticket) bool { return true })
 	}
@@ -77,8 +85,8 @@
 }
 
 // checkFence notes when no upstream can act on a grant of a former term any
-// more: each one has confirmed a grant of this term, or the former grants have
-// expired.
+// more: each one has confirmed a grant of this term or does not run, or the
+// former grants have expired.
 func (dispatcher *Dispatcher) checkFence(tenure *tenure, now time.Time) {
 	if tenure.fenced {
 		return
@@ -87,7 +95,7 @@
 	if !tenure.fenced {
 		tenure.fenced = true
 		for _, upstream := range dispatcher.upstreams {
-			tenure.fenced = tenure.fenced && upstream.confirmedSeq > 0
+			tenure.fenced = tenure.fenced && (upstream.confirmedSeq > 0 || upstream.absent)
 		}
 	}
 	if tenure.fenced {
--- a/internal/standin/upstreamer/grant.go
+++ b/internal/standin/upstreamer/grant.go
@@ -112,10 +112,20 @@
 	writer.WriteHeader(status)
 	_ = json.NewEncoder(writer).Encode(Reply{
 		Grant: grant, Stamp: upstream.stamp(), Instance: upstream.instance,
-		Draining: upstream.behavior.Draining, Running: upstream.running,
+		Draining: upstream.behavior.Draining, Running: upstream.runs(),
 	})
 }
 
+// runs lists the requests with an ID that have started and not ended.
+func (upstream *Upstream) runs() []Run {
+	var runs []Run
+	for _, run := range upstream.started {
+		run.Left = max(run.deadline.Sub(upstream.clock.Now()).Milliseconds(), 0)
+		runs = append(runs, run)
+	}
+	return runs
+}
+
 // loadSample is the number of running requests at a time.
 type loadSample struct {
 	at      time.Time
--- a/internal/standin/upstreamer/settings.go
+++ b/internal/standin/upstreamer/settings.go
@@ -80,7 +80,17 @@
 	Stamp    int64  `json:"stamp"`
 	Instance string `json:"instance"` // changes with each start of the process
 	Draining bool   `json:"draining"`
-	Running  int    `json:"running"`
+	Running  []Run  `json:"running,omitempty"`
+}
+
+// Run is a request that the stand-in runs. Left is the time until its deadline,
+// in milliseconds.
+type Run struct {
+	Request string `json:"request"`
+	Key     string `json:"key"`
+	Left    int64  `json:"left"`
+
+	deadline time.Time
 }
 
 // Kind tells what happened to a request.
--- a/internal/standin/upstreamer/upstream.go
+++ b/internal/standin/upstreamer/upstream.go
@@ -18,7 +18,7 @@
 type Upstream struct {
 	settings Settings
 	clock    clocker.Clock
-	started  time.Time
+	origin   time.Time // of the stamps
 	instance string
 	router   *mux.Router
 	// Crash is called when a request asks for it. The default closes the
@@ -31,6 +31,7 @@
 	grant    *Grant
 	expiry   time.Time
 	running  int
+	started  map[*http.Request]Run
 	highest  int // most requests that ran at once
 	records  []Record
 	loads    []loadSample
@@ -44,7 +45,8 @@
 	upstream := &Upstream{
 		settings: settings,
 		clock:    clock,
-		started:  clock.Now(),
+		origin:   clock.Now(),
+		started:  map[*http.Request]Run{},
 		instance: strconv.FormatUint(rand.Uint64(), 36),
 		thawed:   make(chan struct{}),
 		random:   rand.New(rand.NewPCG(settings.Seed, 0)),
@@ -78,7 +80,7 @@
 // stamp is the stand-in's clock in milliseconds since it started, plus one so
 // that 0 means "not read".
 func (upstream *Upstream) stamp() int64 {
-	return upstream.clock.Now().Sub(upstream.started).Milliseconds() + 1
+	return upstream.clock.Now().Sub(upstream.origin).Milliseconds() + 1
 }
 
 func (upstream *Upstream) record(kind Kind, request *http.Request, detail string) {
--- a/internal/upstreamer/control.go
+++ b/internal/upstreamer/control.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cuminstream/cuminstream/internal/configurer"
 	"github.com/cuminstream/cuminstream/internal/dispatcher"
@@ -29,9 +30,27 @@
 }
 
 type wireReply struct {
-	Stamp    int64  `json:"stamp"`
-	Instance string `json:"instance"`
-	Draining bool   `json:"draining"`
+	Stamp    int64         `json:"stamp"`
+	Instance string        `json:"instance"`
+	Draining bool          `json:"draining"`
+	Running  []wireRunning `json:"running"`
+}
+
+// wireRunning is a request that the upstream runs. Left is in milliseconds.
+type wireRunning struct {
+	Request string `json:"request"`
+	Key     string `json:"key"`
+	Left    int64  `json:"left"`
+}
+
+func (reply wireReply) decoded() dispatcher.Reply {
+	result := dispatcher.Reply{Stamp: reply.Stamp, Instance: reply.Instance, Draining: reply.Draining}
+	for _, running := range reply.Running {
+		result.Running = append(result.Running, dispatcher.Running{
+			ID: running.Request, Key: running.Key, Left: time.Duration(running.Left) * time.Millisecond,
+		})
+	}
+	return result
 }
 
 // Grant implements dispatcher.Upstreams.
@@ -79,5 +98,5 @@
 	}
 	var reply wireReply
 	_ = json.Unmarshal(data, &reply) // an upstream without the protocol's health answer is still alive
-	return response, dispatcher.Reply{Stamp: reply.Stamp, Instance: reply.Instance, Draining: reply.Draining}, nil
+	return response, reply.decoded(), nil
 }
