Keep an upstream's grant until its content changes

A trial with 16384 shards and 16 upstreams that had nothing to do took 14.7 s of CPU in 10 s. The profile shows two causes: the content of each grant was built for each renewal, and the plan of a new group copied the whole assignment for each of its 16384 moves.

The content is now kept together with the revision of the ownership, and the plan changes the one copy that it has made.

--- a/internal/dispatcher/aggregates_test.go
+++ b/internal/dispatcher/aggregates_test.go
@@ -97,7 +97,8 @@
 	known.health = up
 	known.stamp = stamp{value: 5, sent: fake.Now(), received: fake.Now().Add(10 * time.Millisecond)}
 	fake.Advance(400 * time.Millisecond)
-	renewal := known.renew(Grant{Shards: []uint32{1}}, content{place{shard: 1}: true}, fake.Now())
+	content := &granting{full: Grant{Shards: []uint32{1}}, covered: content{place{shard: 1}: true}}
+	renewal := known.renew(content, fake.Now())
 	renewal.checks = true
 	known.confirm(renewal)
 	fake.Advance(399 * time.Millisecond)
@@ -105,7 +106,7 @@
 	fake.Advance(time.Millisecond)
 	assert.Assert(t, !known.servable(fake.Now()))
 	assert.Equal(t, known.possibleUntil, known.stamp.received.Add(grantTTL))
-	next := known.renew(Grant{Shards: []uint32{1}}, content{place{shard: 1}: true}, fake.Now())
+	next := known.renew(content, fake.Now())
 	assert.Assert(t, next.grant.Renew)
 	assert.Equal(t, next.grant.Seq, renewal.grant.Seq)
 }
--- a/internal/dispatcher/decisions.go
+++ b/internal/dispatcher/decisions.go
@@ -125,8 +125,10 @@
 		moved := place{shard: move.Shard, key: move.HotKey}
 		if move.HotKey != "" {
 			moved.shard = dispatcher.shardOf(move.HotKey)
+			next.HotKeys[move.HotKey] = move.To
+		} else {
+			next.Shards[move.Shard] = move.To
 		}
-		next = withOwner(next, moved, move.To)
 		reasons[moved] = dispatcher.reason(move.From)
 	}
 	return next, reasons
@@ -148,7 +150,8 @@
 	return "balance"
 }
 
-// withHomes returns the assignment with exactly the shards that are homed here.
+// withHomes returns a copy of the assignment in effect with exactly the shards
+// that are homed here.
 func (dispatcher *Dispatcher) withHomes() replicator.Assignment {
 	next := dispatcher.ownership.assignment
 	next.Shards, next.HotKeys = cloned(next.Shards), cloned(next.HotKeys)
--- a/internal/dispatcher/ownership.go
+++ b/internal/dispatcher/ownership.go
@@ -25,6 +25,8 @@
 	assignment replicator.Assignment
 	held       map[place]string
 	running    map[string]*run
+	// revision rises with each change from which another grant may follow.
+	revision uint64
 }
 
 // run counts the requests of one key that are in flight at an upstream.
@@ -42,6 +44,7 @@
 func (ownership *ownership) begin(assignment replicator.Assignment) {
 	ownership.assignment = assignment
 	ownership.held = map[place]string{}
+	ownership.revision++
 }
 
 // target returns the place of the key and the upstream that shall own it.
@@ -98,6 +101,7 @@
 	for _, place := range places {
 		if ownership.held[place] == upstream {
 			delete(ownership.held, place)
+			ownership.revision++
 		}
 	}
 }
@@ -140,6 +144,7 @@
 		changed = append(changed, hot)
 	}
 	ownership.assignment = next
+	ownership.revision++
 	return changed
 }
 
@@ -198,18 +203,6 @@
 	return grant
 }
 
-// withOwner returns a copy of the assignment in which the place has the owner.
-func withOwner(assignment replicator.Assignment, place place, owner string) replicator.Assignment {
-	if place.key != "" {
-		assignment.HotKeys = cloned(assignment.HotKeys)
-		assignment.HotKeys[place.key] = owner
-		return assignment
-	}
-	assignment.Shards = cloned(assignment.Shards)
-	assignment.Shards[place.shard] = owner
-	return assignment
-}
-
 func cloned[K comparable, V any](original map[K]V) map[K]V {
 	if original == nil {
 		return map[K]V{}
--- a/internal/dispatcher/renewals.go
+++ b/internal/dispatcher/renewals.go
@@ -59,18 +59,29 @@
 	if dispatcher.tenure != tenure || known == nil {
 		return nil, nil
 	}
-	covered := content{}
-	if known.health != lost {
-		covered = dispatcher.ownership.grantable(name, dispatcher.shardOf)
-	}
-	full := dispatcher.ownership.grant(name, covered, dispatcher.shardOf)
-	full.Group, full.Term = dispatcher.Group, tenure.term
-	renewal := known.renew(full, covered, dispatcher.Clock.Now())
-	renewal.releasing = dispatcher.ownership.releasing(name, covered)
+	renewal := known.renew(dispatcher.grantTo(known), dispatcher.Clock.Now())
+	renewal.grant.Group, renewal.grant.Term = dispatcher.Group, tenure.term
 	renewal.spec, renewal.checks = known.spec, dispatcher.service.ChecksGrants
 	return known, renewal
 }
 
+// grantTo returns what the upstream is granted. A group may have 16384 shards,
+// so that the result is kept until something changes.
+func (dispatcher *Dispatcher) grantTo(known *upstream) *granting {
+	owners, name, isLost := dispatcher.ownership, known.spec.Name, known.health == lost
+	if kept := known.granting; kept != nil && kept.revision == owners.revision && kept.lost == isLost {
+		return kept
+	}
+	made := &granting{revision: owners.revision, lost: isLost, covered: content{}}
+	if !isLost {
+		made.covered = owners.grantable(name, dispatcher.shardOf)
+	}
+	made.full = owners.grant(name, made.covered, dispatcher.shardOf)
+	made.releasing = owners.releasing(name, made.covered)
+	known.granting = made
+	return made
+}
+
 // renewed handles the answer to a renewal.
 func (dispatcher *Dispatcher) renewed(tenure *tenure, known *upstream, renewal *renewal, reply Reply, err error) {
 	dispatcher.mutex.Lock()
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -56,7 +56,8 @@
 	instance   string
 	stamp      stamp
 	seq        uint64
-	sent       Grant // content of the newest grant that was sent
+	sent       *granting // content of the newest grant that was sent
+	granting   *granting // content of the next one, unless something changes
 	// confirmed is covered by the newest grant that was confirmed and by each
 	// one sent since.
 	confirmed    content
@@ -115,7 +116,7 @@
 // begin prepares the upstream for a new term.
 func (upstream *upstream) begin(clock clocker.Clock, policies [queuer.RankCount]queuer.Policy) {
 	upstream.health, upstream.lastAnswer = unknown, clock.Now()
-	upstream.sent, upstream.confirmed = Grant{}, nil
+	upstream.sent, upstream.granting, upstream.confirmed = nil, nil, nil
 	upstream.seq, upstream.confirmedSeq = 0, 0
 	upstream.stamp, upstream.validUntil, upstream.possibleUntil = stamp{}, time.Time{}, time.Time{}
 	upstream.broken, upstream.solo, upstream.joined = nil, nil, false
@@ -174,6 +175,15 @@
 	return float64(max(upstream.spec.Slots, 1)) * ramp * upstream.relative
 }
 
+// granting is what an upstream is granted, as of a revision of the ownership.
+type granting struct {
+	revision  uint64
+	lost      bool
+	full      Grant
+	covered   content
+	releasing []place
+}
+
 // renewal is one call that replaces or renews the grant.
 type renewal struct {
 	grant   Grant
@@ -188,12 +198,13 @@
 
 // renew returns the next grant to send. Its content is left out when the
 // upstream has confirmed the same content.
-func (upstream *upstream) renew(full Grant, covered content, now time.Time) *renewal {
-	if upstream.seq == 0 || !sameGrant(upstream.sent, full) {
+func (upstream *upstream) renew(granting *granting, now time.Time) *renewal {
+	full := granting.full
+	if upstream.seq == 0 || upstream.sent != granting && !sameGrant(upstream.sent.full, full) {
 		upstream.seq++
-		upstream.sent = full
-		upstream.confirmed = intersection(upstream.confirmed, covered)
+		upstream.confirmed = intersection(upstream.confirmed, granting.covered)
 	}
+	upstream.sent = granting
 	full.Seq, full.TTL, full.Stamp = upstream.seq, grantTTL, upstream.stamp.value
 	if upstream.confirmedSeq == upstream.seq {
 		full.Renew, full.Shards, full.Keys, full.WithoutKeys = true, nil, nil, nil
@@ -201,7 +212,7 @@
 	if until := upstream.stamp.received.Add(grantTTL); until.After(upstream.possibleUntil) {
 		upstream.possibleUntil = until
 	}
-	return &renewal{grant: full, covered: covered, sent: now, stamp: upstream.stamp}
+	return &renewal{grant: full, covered: granting.covered, releasing: granting.releasing, sent: now, stamp: upstream.stamp}
 }
 
 // confirm notes that the upstream has accepted the renewal.
