Let one loop renew each grant, and test an overload of uploads

An upstream that was added while a tenure began could get two renewal loops, one from Update and one from Begin. The release of a place relies on one renewal at a time. A loop now claims the upstream for its tenure and ends when the upstream is replaced. Found by reading the code; no test had shown it.

The new overload test offers uploads at ten times capacity to one upstream with two slots: at least 1,980 of 2,000 lookups and 198 of 200 transactions are served in virtual time, and every refused upload is told "not run".

--- a/internal/dispatcher/placement_test.go
+++ b/internal/dispatcher/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -218,3 +219,46 @@
 		assert.Equal(t, bench.events("fingerprintConvicted"), 0)
 	})
 }
+
+// Guards against uploads that take the service of lookups and transactions, and
+// against uploads that are cut or starved by an overload.
+func TestOverloadOfUploads(t *testing.T) {
+	t.Parallel()
+	run(t, true, []string{"u1"}, func(t *testing.T, bench *bench) {
+		bench.document = configurer.Document{Sections: map[string]configurer.Section{"team": {Ranks: []configurer.RankPolicy{
+			{Rank: queuer.Lookup, Target: configurer.Duration(time.Second), MinimumShare: 0.2},
+			{Rank: queuer.Transaction, Target: configurer.Duration(2 * time.Second), MinimumShare: 0.2},
+			{Rank: queuer.Upload, Target: configurer.Duration(2 * time.Second), MinimumShare: 0.1},
+		}}}}
+		bench.update()
+		kinds := make([]map[answerer.Kind]int, queuer.RankCount)
+		var mutex sync.Mutex
+		var clients sync.WaitGroup
+		until := bench.clock.Now().Add(20 * time.Second)
+		offer := func(rank queuer.Rank, every time.Duration) {
+			kinds[rank] = map[answerer.Kind]int{}
+			for n := 0; bench.clock.Now().Before(until); n++ {
+				request := bench.request(fmt.Sprintf("%v-%d", rank, n), fmt.Sprintf("k%d", n), rank)
+				clients.Go(func() {
+					got := bench.send(request)
+					mutex.Lock()
+					defer mutex.Unlock()
+					kinds[rank][got.kind]++
+				})
+				bench.sleep(every)
+			}
+		}
+		var offers sync.WaitGroup
+		offers.Go(func() { offer(queuer.Upload, 2500*time.Microsecond) }) // ten times what two slots can do
+		offers.Go(func() { offer(queuer.Lookup, 10*time.Millisecond) })
+		offers.Go(func() { offer(queuer.Transaction, 100*time.Millisecond) })
+		offers.Wait()
+		clients.Wait()
+		assert.Assert(t, kinds[queuer.Lookup][""] >= 1980, "%v", kinds)
+		assert.Assert(t, kinds[queuer.Transaction][""] >= 198, "%v", kinds)
+		assert.Assert(t, kinds[queuer.Upload][""] >= 200, "%v", kinds)
+		for kind := range kinds[queuer.Upload] {
+			assert.Assert(t, kind == "" || kind.Answer().NotRun, "%v", kinds)
+		}
+	})
+}
--- a/internal/dispatcher/renewals.go
+++ b/internal/dispatcher/renewals.go
@@ -13,11 +13,14 @@
 // renewals keeps the grant of one upstream, and thereby learns whether the
 // upstream answers. It ends with the tenure or when the upstream has left.
 func (dispatcher *Dispatcher) renewals(tenure *tenure, name string) {
+	known := dispatcher.claim(tenure, name)
+	if known == nil {
+		return
+	}
 	ticker := dispatcher.Clock.NewTicker(renewalPeriod)
 	defer ticker.Stop()
 	for {
-		known := dispatcher.renew(tenure, name)
-		if known == nil {
+		if !dispatcher.renew(tenure, known) {
 			return
 		}
 		select {
@@ -29,15 +32,28 @@
 	}
 }
 
-// renew sends one renewal. It returns nil when there is nothing to renew any
-// more.
-func (dispatcher *Dispatcher) renew(tenure *tenure, name string) *upstream {
-	known, renewal := dispatcher.nextRenewal(tenure, name)
-	if known == nil {
+// claim returns the upstream, or nil when its renewals are running already. Two
+// renewals at once could release a place that the later one grants.
+func (dispatcher *Dispatcher) claim(tenure *tenure, name string) *upstream {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	known := dispatcher.upstreams[name]
+	if known == nil || known.renewing == tenure {
 		return nil
 	}
+	known.renewing = tenure
+	return known
+}
+
+// renew sends one renewal. It returns false when there is nothing to renew any
+// more.
+func (dispatcher *Dispatcher) renew(tenure *tenure, known *upstream) bool {
+	renewal := dispatcher.nextRenewal(tenure, known)
+	if renewal == nil {
+		return false
+	}
 	if _, ok := tenure.lease.Valid(); !ok {
-		return known
+		return true
 	}
 	ctx, cancel := clocker.WithTimeout(tenure.ctx, dispatcher.Clock, renewalTimeout)
 	defer cancel()
@@ -49,20 +65,19 @@
 		reply, err = dispatcher.Upstreams.Probe(ctx, renewal.spec)
 	}
 	dispatcher.renewed(tenure, known, renewal, reply, err)
-	return known
+	return true
 }
 
-func (dispatcher *Dispatcher) nextRenewal(tenure *tenure, name string) (*upstream, *renewal) {
+func (dispatcher *Dispatcher) nextRenewal(tenure *tenure, known *upstream) *renewal {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	known := dispatcher.upstreams[name]
-	if dispatcher.tenure != tenure || known == nil {
-		return nil, nil
+	if dispatcher.tenure != tenure || dispatcher.upstreams[known.spec.Name] != known {
+		return nil
 	}
 	renewal := known.renew(dispatcher.grantTo(known), dispatcher.Clock.Now())
 	renewal.grant.Group, renewal.grant.Term = dispatcher.Group, tenure.term
 	renewal.spec, renewal.checks = known.spec, dispatcher.service.ChecksGrants
-	return known, renewal
+	return renewal
 }
 
 // grantTo returns what the upstream is granted. A group may have 16384 shards,
--- a/internal/dispatcher/update.go
+++ b/internal/dispatcher/update.go
@@ -25,7 +25,7 @@
 	if tenure == nil {
 		return
 	}
-	for _, name := range created {
+	for _, name := range created { // or Begin has started their renewals already
 		dispatcher.spawn(func() { dispatcher.renewals(tenure, name) })
 	}
 	tenure.wake()
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -80,6 +80,7 @@
 	speed      speed
 	relative   float64       // speed relative to the group's median
 	absent     bool          // nothing listens at its address: a former process has ended
+	renewing   *tenure       // whose renewals are running
 	joined     bool          // was added while the group was held
 	kick       chan struct{} // asks for a renewal at once
 }
