Keep a withdrawn run from hiding a later run of the same ID

Cause: two replicas can hold entries of one request ID that do not know of each other. With a Try that counts from 1, the Withdrawn entry of a run that never reached a majority had the same Try as the Intent of a later run under another holder, and its higher status won the merge. A third holder then admitted the ID again: a second run. The same happened within one term once the holder had forgotten the withdrawn entry and a replica with a slower clock had not.

Ruled out: a different order of the statuses. Withdrawn must win over Intent within one run, or no withdrawn ID could be repeated after a takeover.

Change: Try starts at term * 2^32 plus the number of runs that the table has begun, so that it rises with the term and with each Begin. Done may replace Unknown; nothing else may. Expiries are sorted into 64 slots of the window instead of one sorted list, whose insertions were quadratic when a takeover merges entries that are ordered by ID.

Conclusion: at most one run for each ID holds over merges in any order, as long as terms rise and stay below 2^32.

--- a/pkg/deduper/entry.go
+++ b/pkg/deduper/entry.go
@@ -22,7 +22,7 @@
 	ID     string    `cbor:"id"`
 	Status Status    `cbor:"status"`
 	Term   uint64    `cbor:"term"` // term of the holder that recorded the intent
-	Try    uint64    `cbor:"try"`  // rises each time a withdrawn ID is tried again
+	Try    uint64    `cbor:"try"`  // rises with the term and with each Begin; see Table.Begin
 	At     time.Time `cbor:"at"`
 	// HTTPStatus is the upstream's status once the request is done.
 	HTTPStatus int `cbor:"httpStatus,omitempty"`
--- a/pkg/deduper/table.go
+++ b/pkg/deduper/table.go
@@ -42,33 +42,47 @@
 
 	mutex   sync.Mutex
 	entries map[string]Entry
-	// queue holds one record for each change of an entry, oldest first, so that
-	// forgetting costs constant time for each change.
-	queue []record
+	begun   uint64 // number of calls to Begin that were admitted
+	// changes lists the IDs whose entries expire in a slot of time, so that
+	// forgetting costs constant time for each change in whatever order entries
+	// are merged.
+	changes map[int64][]string
+	start   time.Time
+	swept   int64 // slots before this one have been forgotten
 }
 
-type record struct {
-	id      string
-	expires time.Time
-}
+// slotsPerWindow is the number of slots of time into which expiries are sorted.
+const slotsPerWindow = 64
+
+// triesPerTerm leaves room for one Begin each microsecond for more than an hour
+// of one term.
+const triesPerTerm = 1 << 32
 
 // New returns a table that remembers an ID for the window after its last
 // change. The window must be longer than the longest time after which a caller
 // repeats a request, plus the difference between the clocks of the replicas.
 func New(clock clocker.Clock, window time.Duration) *Table {
-	return &Table{clock: clock, window: window, entries: map[string]Entry{}}
+	return &Table{
+		clock: clock, window: window, start: clock.Now(),
+		entries: map[string]Entry{}, changes: map[int64][]string{},
+	}
 }
 
 // Begin records the intent to run the request in the term. The error is of type
 // *InProgressError, *DoneError or *OutcomeUnknownError when the request may not
 // run. An intent of another term is of a former holder, which may have sent the
 // request: its outcome is unknown.
+//
+// The new entry's Try is above that of every entry of a lower term and of every
+// earlier one of this table, even of one that the table has never seen or has
+// forgotten. Otherwise the memory of a withdrawn run could hide a later run of
+// the same ID when two replicas are merged, and the request would run twice.
 func (table *Table) Begin(id string, term uint64) (Entry, error) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	now := table.clock.Now()
 	table.forget(now)
-	entry, known := table.entries[id]
+	entry, known := table.find(id, now)
 	switch {
 	case known && entry.Status == Done:
 		return entry, &DoneError{ID: id, HTTPStatus: entry.HTTPStatus}
@@ -77,21 +91,24 @@
 	case known && entry.Status != Withdrawn:
 		return entry, &OutcomeUnknownError{ID: id}
 	}
-	entry = Entry{ID: id, Status: Intent, Term: term, Try: entry.Try + 1, At: now}
+	table.begun++
+	entry = Entry{ID: id, Status: Intent, Term: term, Try: max(entry.Try+1, term*triesPerTerm+table.begun), At: now}
 	table.store(entry, now)
 	return entry, nil
 }
 
 // Finish records the outcome of a request that Begin admitted. It returns false
-// when the ID is not known as an intent, so that a late outcome cannot replace
-// an earlier one.
+// when the ID has no intent; of a request whose outcome is unknown, only Done
+// can still be recorded.
 func (table *Table) Finish(id string, status Status, httpStatus int) (Entry, bool) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	now := table.clock.Now()
 	table.forget(now)
-	entry, known := table.entries[id]
-	if !known || entry.Status != Intent || status <= Intent {
+	entry, known := table.find(id, now)
+	late := known && entry.Status == Unknown && status == Done
+	first := known && entry.Status == Intent && status > Intent && status <= Done
+	if !late && !first {
 		return entry, false
 	}
 	entry.Status, entry.HTTPStatus, entry.At = status, httpStatus, now
@@ -107,10 +124,10 @@
 	now := table.clock.Now()
 	table.forget(now)
 	for _, entry := range entries {
-		if entry.Status < Intent || entry.Status > Done || !entry.At.Add(table.window).After(now) {
+		if entry.Status < Intent || entry.Status > Done || !table.expiry(entry, now).After(now) {
 			continue
 		}
-		if known, ok := table.entries[entry.ID]; !ok || compare(entry, known) > 0 {
+		if known, ok := table.find(entry.ID, now); !ok || compare(entry, known) > 0 {
 			table.store(entry, now)
 		}
 	}
@@ -120,10 +137,13 @@
 func (table *Table) Entries() []Entry {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	table.forget(table.clock.Now())
+	now := table.clock.Now()
+	table.forget(now)
 	entries := make([]Entry, 0, len(table.entries))
 	for _, entry := range table.entries {
-		entries = append(entries, entry)
+		if table.expiry(entry, now).After(now) {
+			entries = append(entries, entry)
+		}
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return entries
@@ -136,6 +156,15 @@
 		a.At.Compare(b.At), cmp.Compare(a.HTTPStatus, b.HTTPStatus))
 }
 
+// find returns the entry of the ID unless its window has passed.
+func (table *Table) find(id string, now time.Time) (Entry, bool) {
+	entry, ok := table.entries[id]
+	if !ok || !table.expiry(entry, now).After(now) {
+		return Entry{}, false
+	}
+	return entry, true
+}
+
 // expiry treats an entry from a clock that is ahead as if it was made now.
 func (table *Table) expiry(entry Entry, now time.Time) time.Time {
 	if entry.At.After(now) {
@@ -144,30 +173,40 @@
 	return entry.At.Add(table.window)
 }
 
+func (table *Table) slot(at time.Time) int64 {
+	return int64(at.Sub(table.start) / max(table.window/slotsPerWindow, 1))
+}
+
 func (table *Table) store(entry Entry, now time.Time) {
 	table.entries[entry.ID] = entry
-	expires := table.expiry(entry, now)
-	position, _ := slices.BinarySearchFunc(table.queue, expires, func(r record, t time.Time) int {
-		if r.expires.After(t) {
-			return 1
-		}
-		return -1
-	})
-	table.queue = slices.Insert(table.queue, position, record{id: entry.ID, expires: expires})
+	slot := table.slot(table.expiry(entry, now))
+	table.changes[slot] = append(table.changes[slot], entry.ID)
 }
 
-// forget drops the entries whose window has passed. The record of an entry that
-// has changed since is skipped.
+// forget drops the entries whose window has passed. An ID that has changed since
+// it was listed is listed again in a later slot.
 func (table *Table) forget(now time.Time) {
-	dropped := 0
-	for dropped < len(table.queue) && !table.queue[dropped].expires.After(now) {
-		id := table.queue[dropped].id
-		if entry, ok := table.entries[id]; ok && !entry.At.Add(table.window).After(now) {
-			delete(table.entries, id)
-		}
-		dropped++
+	current := table.slot(now)
+	if current <= table.swept {
+		return
 	}
-	if dropped > 0 {
-		table.queue = slices.Delete(table.queue, 0, dropped)
+	table.swept = current
+	for slot, ids := range table.changes {
+		if slot >= current {
+			continue
+		}
+		delete(table.changes, slot)
+		for _, id := range ids {
+			entry, ok := table.entries[id]
+			switch {
+			case !ok:
+			case !table.expiry(entry, now).After(now):
+				delete(table.entries, id)
+			case entry.At.After(now):
+				// The clock that made the entry is far ahead.
+				later := table.slot(table.expiry(entry, now))
+				table.changes[later] = append(table.changes[later], id)
+			}
+		}
 	}
 }
