Make the suspects' merge independent of the window and bound its memory

Cause: an entry whose loss is recent and whose clear is older than the window merged differently depending on which replica's entry came first.

Ruled out: merging the largest count with the latest time, because that is not associative once an older loss is cleared. Losses are compared by time first, so that two losses recorded without knowledge of each other count as one; the holder copies each loss to a majority before the next one, which excludes that.

Change: losses and clears expire each by itself before they are merged. Empty entries are dropped once in a window. A table keeps at most 4096 entries and drops the oldest.

--- a/pkg/suspecter/table.go
+++ b/pkg/suspecter/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,11 @@
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
+// MaxEntries bounds the memory of a table. Each lost upstream adds at most as
+// many fingerprints as it has slots, so that the bound means more than a
+// thousand losses within one window.
+const MaxEntries = 4096
+
 // Table counts losses by fingerprint. It is safe for concurrent use.
 type Table struct {
 	clock  clocker.Clock
@@ -16,12 +22,12 @@
 
 	mutex   sync.Mutex
 	entries map[uint64]Entry
+	swept   time.Time
 }
 
-// New returns a table that remembers a fingerprint for the window after its
-// last change.
+// New returns a table that remembers a loss or a clear for the window.
 func New(clock clocker.Clock, window time.Duration) *Table {
-	return &Table{clock: clock, window: window, entries: map[uint64]Entry{}}
+	return &Table{clock: clock, window: window, entries: map[uint64]Entry{}, swept: clock.Now()}
 }
 
 // Losses returns the number of upstreams that were lost while they ran the
@@ -29,11 +35,7 @@
 func (table *Table) Losses(fingerprint uint64) int {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	entry, ok := table.entries[fingerprint]
-	if !ok || table.expired(entry, table.clock.Now()) {
-		return 0
-	}
-	return entry.Losses
+	return table.recent(table.entries[fingerprint], table.clock.Now()).Losses
 }
 
 // Lose counts one loss for each of the fingerprints, which were in flight on
@@ -43,12 +45,11 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	now := table.clock.Now()
-	table.forget(now)
 	changed := make([]Entry, 0, len(fingerprints))
 	sorted := slices.Clone(fingerprints)
 	slices.Sort(sorted)
 	for _, fingerprint := range slices.Compact(sorted) {
-		entry := table.entries[fingerprint]
+		entry := table.recent(table.entries[fingerprint], now)
 		entry.Fingerprint = fingerprint
 		entry.Losses++
 		// The time rises with each change, even when the clock of a former
@@ -57,6 +58,7 @@
 		table.entries[fingerprint] = entry
 		changed = append(changed, entry)
 	}
+	table.forget(now)
 	return changed
 }
 
@@ -66,13 +68,11 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	now := table.clock.Now()
-	table.forget(now)
-	entry, ok := table.entries[fingerprint]
-	if !ok || entry.Losses == 0 {
+	entry := table.recent(table.entries[fingerprint], now)
+	if entry.Losses == 0 {
 		return entry, false
 	}
-	entry.Losses, entry.Cleared = 0, latest(now, entry.At)
-	entry.At = time.Time{}
+	entry.Losses, entry.At, entry.Cleared = 0, time.Time{}, latest(now, entry.At)
 	table.entries[fingerprint] = entry
 	return entry, true
 }
@@ -83,23 +83,25 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	now := table.clock.Now()
-	table.forget(now)
 	for _, entry := range entries {
-		entry = join(entry, table.entries[entry.Fingerprint])
-		if !table.expired(entry, now) {
+		entry = join(table.recent(entry, now), table.recent(table.entries[entry.Fingerprint], now))
+		if !entry.empty() {
 			table.entries[entry.Fingerprint] = entry
 		}
 	}
+	table.forget(now)
 }
 
 // Entries returns all entries, ordered by fingerprint.
 func (table *Table) Entries() []Entry {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	table.forget(table.clock.Now())
+	now := table.clock.Now()
 	entries := make([]Entry, 0, len(table.entries))
 	for _, entry := range table.entries {
-		entries = append(entries, entry)
+		if entry = table.recent(entry, now); !entry.empty() {
+			entries = append(entries, entry)
+		}
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return entries
@@ -120,15 +122,38 @@
 	return joined
 }
 
-func (table *Table) expired(entry Entry, now time.Time) bool {
-	return !latest(entry.At, entry.Cleared).Add(table.window).After(now)
+// recent returns the entry without losses or a clear whose window has passed.
+// Each is dropped by itself, so that the result of merges does not depend on
+// whether they came before or after the end of the other's window.
+func (table *Table) recent(entry Entry, now time.Time) Entry {
+	if entry.Losses <= 0 || !entry.At.Add(table.window).After(now) {
+		entry.Losses, entry.At = 0, time.Time{}
+	}
+	if !entry.Cleared.Add(table.window).After(now) {
+		entry.Cleared = time.Time{}
+	}
+	return entry
 }
 
+func (entry Entry) empty() bool { return entry.Losses == 0 && entry.Cleared.IsZero() }
+
+// forget drops empty entries once in a window or when there are too many, and
+// then the oldest ones above three quarters of the bound.
 func (table *Table) forget(now time.Time) {
-	for fingerprint, entry := range table.entries {
-		if table.expired(entry, now) {
-			delete(table.entries, fingerprint)
-		}
+	if len(table.entries) <= MaxEntries && now.Before(table.swept.Add(table.window)) {
+		return
+	}
+	table.swept = now
+	maps.DeleteFunc(table.entries, func(_ uint64, entry Entry) bool { return table.recent(entry, now).empty() })
+	if len(table.entries) <= MaxEntries {
+		return
+	}
+	entries := slices.Collect(maps.Values(table.entries))
+	slices.SortFunc(entries, func(a, b Entry) int {
+		return cmp.Or(latest(a.At, a.Cleared).Compare(latest(b.At, b.Cleared)), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	for _, entry := range entries[:len(entries)-MaxEntries*3/4] {
+		delete(table.entries, entry.Fingerprint)
 	}
 }
 
