Test the manager under randomized faults, and the state's merge and pages

Cause: formation, forming anew and planned stops had one directed test each; the merge of entries had none.

Change: randomized runs in which VMs of two zones are killed and started, isolated, paused or leave, while the platform is down or loses answers. They check that at most one lease is valid, that terms rise, and that an acknowledged entry is missing at Begin only when the state says that the memory was lost. Directed tests cover the merge rules, pages under pruning, late restores and candidates that join again.

--- a/internal/replicator/group_test.go
+++ b/internal/replicator/group_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/leaser"
 )
 
 var three = []string{"a", "b", "c"}
@@ -234,3 +237,62 @@
 		})
 	}
 }
+
+// Guards against a restore that was sent to an earlier process of the VM, or out
+// of order, and makes the present one count.
+func TestLateRestoreDoesNotSynchronize(t *testing.T) {
+	inWorld(t, 13, three, func(t *testing.T, world *world) {
+		group := world.start("b", record(three...)).group
+		send := func(incarnation, attempt uint64, number int, last bool) bool {
+			call := &restoreCall{
+				header: header{Group: "g", Record: record(three...), Term: 3}, Incarnation: incarnation,
+				Attempt: attempt, Number: number, Last: last,
+			}
+			answer, err := group.Answer(t.Context(), "a", methodRestore, call)
+			assert.NilError(t, err)
+			return answer.(reply).OK
+		}
+		own := group.incarnation
+		assert.Assert(t, !send(own+1, 1, 0, true))
+		assert.Assert(t, send(own, 1, 0, false))
+		assert.Assert(t, !send(own, 1, 2, true))
+		assert.Assert(t, send(own, 2, 0, false))
+		assert.Assert(t, !send(own, 1, 1, true))
+		assert.Assert(t, !group.Synchronized())
+		assert.Assert(t, send(own, 2, 0, false))
+		assert.Assert(t, send(own, 2, 1, true))
+		assert.Assert(t, group.Synchronized())
+	})
+}
+
+// Guards against a VM that was a candidate before, missed entries since, and
+// counts at once when it joins again.
+func TestJoiningCandidateCountsOnlyAfterAnInvitation(t *testing.T) {
+	without := Record{ID: "g", Candidates: []string{"a", "b", "d"}, BaseTerm: 1, Revision: 3}
+	joint := Record{ID: "g", Candidates: three, Previous: without.Candidates, BaseTerm: 1, Revision: 4}
+	settled := Record{ID: "g", Candidates: three, BaseTerm: 1, Revision: 5}
+	for _, test := range []struct {
+		name      string
+		records   []Record
+		invitedAt uint64
+		want      bool
+	}{
+		{"left", []Record{without}, 0, false},
+		{"joins again", []Record{without, joint}, 0, false},
+		{"joins again, missed that it had left", []Record{joint}, 0, false},
+		{"invited", []Record{without, joint}, 3, true},
+		{"invited, not complete when settled", []Record{without, joint, settled}, 3, false},
+		{"invited, missed the joint record", []Record{without, settled}, 3, false},
+	} {
+		group := &Group{ID: "g", VM: "c", Clock: clocker.NewFake(epoch), Timing: leaser.DefaultTiming(), Record: record(three...)}
+		group.prepare()
+		group.synchronized, group.complete = true, true
+		for _, record := range test.records {
+			group.Adopt(record)
+			if record.Revision == test.invitedAt {
+				group.synchronized, group.complete, group.invitedAt = true, true, test.invitedAt
+			}
+		}
+		assert.Equal(t, group.Synchronized(), test.want, test.name)
+	}
+}
--- a/internal/replicator/manager_test.go
+++ b/internal/replicator/manager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/cuminstream/cuminstream/internal/platformer"
 	"github.com/cuminstream/cuminstream/internal/timeliner"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/deduper"
 )
 
 var errDown = errors.New("platform is down")
@@ -38,7 +40,6 @@
 	leaving   map[string]bool
 	leases    map[string]map[string]Lease
 	states    map[string]State
-	inFlight  []InFlight
 }
 
 func newFleet(seed uint64, zones map[string][]string, groups ...string) *fleet {
@@ -216,10 +217,58 @@
 		}
 		member.fleet.leases[member.id][member.node.name] = lease
 		member.fleet.states[member.id] = state
+		member.fleet.began++
+		member.fleet.remember(member, lease, state)
 	})
 	return nil
 }
 
+// remember checks that the state has everything that was acknowledged, unless
+// the member is told that the memory was lost since.
+func (fleet *fleet) remember(member *fleetMember, lease Lease, state State) {
+	known := map[string]bool{}
+	for _, entry := range state.Requests {
+		known[entry.ID] = true
+	}
+	for id, entry := range fleet.acked {
+		if !known[id] && !state.MemoryLost.After(entry.At.Add(-time.Second)) {
+			fleet.faults = append(fleet.faults, fmt.Sprintf("begin of %s in term %d lacks %s", member.node.name, lease.Term(), id))
+		}
+	}
+	if lease.Term() <= fleet.lastTerm {
+		fleet.faults = append(fleet.faults, fmt.Sprintf("term %d follows %d", lease.Term(), fleet.lastTerm))
+	}
+	if len(fleet.specs) == 1 {
+		fleet.lastTerm = lease.Term()
+	}
+}
+
+// copySome copies an entry through every lease of the group "g".
+func (fleet *fleet) copySome() {
+	fleet.mutex.Lock()
+	leases := maps.Clone(fleet.leases["g"])
+	fleet.mutex.Unlock()
+	for vm, lease := range leases {
+		node := fleet.nodes[vm]
+		if node.resume != nil {
+			continue
+		}
+		fleet.set(func() { fleet.versions++ })
+		entry := deduper.Entry{ID: fmt.Sprintf("r%d", fleet.versions), Status: deduper.Intent, At: fleet.clock.Now()}
+		fleet.running.Go(func() error {
+			ctx, cancel := clocker.WithTimeout(node.ctx, node.clock, 300*time.Millisecond)
+			defer cancel()
+			err := lease.Copy(ctx, Entries{Requests: []deduper.Entry{entry}})
+			fleet.set(func() {
+				if err == nil && !node.dead {
+					fleet.acked[entry.ID] = entry
+				}
+			})
+			return nil
+		})
+	}
+}
+
 func (member *fleetMember) End(bool) []InFlight {
 	member.fleet.set(func() { delete(member.fleet.leases[member.id], member.node.name) })
 	return nil
--- /dev/null
+++ b/internal/replicator/store_test.go
@@ -0,0 +1,138 @@
+package replicator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/pkg/deduper"
+	"github.com/cuminstream/cuminstream/pkg/leaser"
+	"github.com/cuminstream/cuminstream/pkg/suspecter"
+)
+
+// Guards against a merge in which a withdrawn try hides a later one, or an
+// intent hides an outcome.
+func TestMergeOfRequests(t *testing.T) {
+	entry := func(status deduper.Status, try uint64) deduper.Entry {
+		return deduper.Entry{ID: "r", Status: status, Try: try, At: epoch}
+	}
+	for _, order := range [][]deduper.Entry{
+		{entry(deduper.Done, 1), entry(deduper.Intent, 1)},
+		{entry(deduper.Withdrawn, 0), entry(deduper.Intent, 1), entry(deduper.Done, 1)},
+		{entry(deduper.Done, 1), entry(deduper.Done, 0), entry(deduper.Unknown, 1)},
+	} {
+		store := newStore()
+		for _, entry := range order {
+			store.apply(epoch, Entries{Requests: []deduper.Entry{entry}})
+		}
+		assert.DeepEqual(t, store.state(epoch).Requests, []deduper.Entry{entry(deduper.Done, 1)})
+	}
+}
+
+// Guards against losses that are lost in a merge or survive a completed run.
+func TestMergeOfSuspects(t *testing.T) {
+	at := func(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+	one := suspecter.Entry{Fingerprint: 7, Losses: 1, At: at(1)}
+	two := suspecter.Entry{Fingerprint: 7, Losses: 2, At: at(2)}
+	cleared := suspecter.Entry{Fingerprint: 7, At: at(3), Cleared: at(3)}
+	again := suspecter.Entry{Fingerprint: 7, Losses: 1, At: at(4), Cleared: at(3)}
+	assert.Equal(t, mergeSuspect(one, two).Losses, 2)
+	assert.Equal(t, mergeSuspect(two, one).Losses, 2)
+	assert.Equal(t, mergeSuspect(two, cleared).Losses, 0)
+	assert.Equal(t, mergeSuspect(cleared, two).Losses, 0)
+	assert.Equal(t, mergeSuspect(two, again).Losses, 1)
+	assert.Equal(t, mergeSuspect(again, two).Losses, 1)
+}
+
+// Guards against entries that are skipped between pages, also when old ones are
+// pruned meanwhile, and against a memory that grows without bound.
+func TestPagesAndWindow(t *testing.T) {
+	source, target := newStore(), newStore()
+	for number := range 3*pageRequests + 1 {
+		at := epoch
+		if number < 10 {
+			at = epoch.Add(-requestWindow)
+		}
+		source.apply(epoch, Entries{Requests: []deduper.Entry{{ID: fmt.Sprint(number), Status: deduper.Intent, At: at}}})
+	}
+	pages := 0
+	for cursor, more := uint64(0), true; more; pages++ {
+		page := source.page(epoch, cursor)
+		assert.Assert(t, len(page.State.Requests) <= pageRequests)
+		target.applyPage(epoch, page)
+		cursor, more = page.Next, page.More
+		if pages == 1 {
+			source.prune(epoch.Add(2 * time.Second))
+		}
+	}
+	assert.Equal(t, pages, 5)
+	assert.Assert(t, len(target.requests) >= 3*pageRequests-9, "%d entries", len(target.requests))
+	later := epoch.Add(requestWindow + time.Second)
+	assert.Equal(t, len(source.state(later).Requests), 0)
+	assert.Equal(t, len(source.order), 0)
+}
+
+// Guards against requests in flight that come back after they have ended, or
+// that are taken from an older holder.
+func TestInFlight(t *testing.T) {
+	store, other := newStore(), newStore()
+	list := []InFlight{{ID: "a", Left: 2 * time.Second}, {ID: "b", Left: time.Second}}
+	store.setInFlight(epoch, 4, list)
+	other.setInFlight(epoch, 4, list)
+	other.apply(epoch, Entries{Ended: []string{"a"}})
+	store.applyPage(epoch, other.page(epoch, 0))
+	assert.DeepEqual(t, store.left(epoch), list[1:])
+	store.setInFlight(epoch, 3, list)
+	assert.DeepEqual(t, store.left(epoch.Add(500*time.Millisecond)), []InFlight{{ID: "b", Left: 500 * time.Millisecond}})
+	assert.Equal(t, len(store.left(epoch.Add(time.Second))), 0)
+}
+
+// Guards against a large state that does not reach a candidate that restarted.
+func TestLargeStateIsRestored(t *testing.T) {
+	inWorld(t, 11, three, func(t *testing.T, world *world) {
+		holder := formed(t, world, record(three...))
+		var entries []deduper.Entry
+		for number := range 2*pageRequests + 5 {
+			entries = append(entries, deduper.Entry{ID: fmt.Sprint(number), Status: deduper.Intent, At: world.clock.Now()})
+		}
+		world.running.Go(func() error { return holder.lease.Copy(holder.ctx, Entries{Requests: entries}) })
+		world.run(100 * time.Millisecond)
+		restarted := world.start("c", record(three...))
+		world.runUntil(2*time.Second, restarted.group.Synchronized)
+		assert.Equal(t, len(restarted.group.store.requests), len(entries))
+		vm, _, known := restarted.group.Holder()
+		assert.Assert(t, known && vm == holder.name)
+	})
+}
+
+// Guards against a check before each request that allocates.
+func TestLeaseValidDoesNotAllocate(t *testing.T) {
+	inWorld(t, 12, []string{"a"}, func(t *testing.T, world *world) {
+		lease := formed(t, world, record("a")).lease
+		assert.Equal(t, testing.AllocsPerRun(100, func() { lease.Valid() }), 0.0)
+	})
+}
+
+// Guards against joint lists in which one majority is enough.
+func TestQuorums(t *testing.T) {
+	lists := Record{Candidates: []string{"a", "b", "d"}, Previous: three}.lists()
+	has := func(vms ...string) func(string) bool {
+		return func(vm string) bool {
+			for _, other := range vms {
+				if vm == other {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	assert.Assert(t, !leaser.MajorityOfEach(lists, has("a", "d")))
+	assert.Assert(t, !leaser.MajorityOfEach(lists, has("a", "c")))
+	assert.Assert(t, leaser.MajorityOfEach(lists, has("a", "b")))
+	assert.Assert(t, leaser.MajorityOfEach(lists, has("a", "c", "d")))
+	for n, want := range map[int]int{1: 1, 2: 1, 3: 2, 4: 2, 5: 3} {
+		assert.Equal(t, readers(n), want)
+	}
+}
