Finish replacements whose new candidate fails, and stops during an election

Cause: a replacement waited forever for a VM that could not be reached, or that died after the record named it. A VM that stopped while it asked for the lease could still become holder. VMs that start together chose candidates before they had heard of each other.

Change: after 5 s another VM is invited; a candidate that dies while it joins is replaced under the same previous list, which covers every entry. Retire ends a lease that has not begun. A successor that is leaving itself comes last. A group is formed 1 s after its record was missed.

Ruled out: going back to the previous list when the joining candidate dies; it needs the dead candidate of that list.

Conclusion: every replacement ends as long as one spare VM is reachable.

--- a/internal/replicator/candidates.go
+++ b/internal/replicator/candidates.go
@@ -17,6 +17,9 @@
 	candidateCount = 3
 	// deadAfter is how long a candidate does not answer before it is replaced.
 	deadAfter = 3 * time.Second
+	// inviteTime is how long an invited VM may take to become ready before
+	// another one is invited. A new voter gives no promise for the first 850 ms.
+	inviteTime = 5 * time.Second
 )
 
 // order returns the VMs that may become candidates of the group: those of its
@@ -90,27 +93,64 @@
 // names it once it is ready, and clears the previous list once it is complete.
 func (manager *Manager) repair(spec configurer.GroupSpec, group *Group) {
 	record := group.Newest()
-	if len(record.Previous) > 0 {
-		if group.Settled() {
-			record.Previous = nil
-			manager.change(group, record, "candidateSettled")
-		}
+	if len(record.Previous) > 0 && group.Settled() {
+		record.Previous = nil
+		manager.change(group, record, "candidateSettled")
 		return
 	}
-	candidates, joining := manager.replacement(spec, group, record)
+	leaving, joining := manager.replacement(spec, group, record)
 	if len(joining) == 0 {
 		group.Disinvite()
+		manager.watched(spec.ID, func(watch *watch) { watch.inviting, watch.skipped = time.Time{}, 0 })
+		return
+	}
+	ready := manager.ready(group, joining)
+	if len(ready) == 0 {
 		return
 	}
-	ready := true
+	next := record
+	if len(record.Previous) == 0 {
+		next.Previous = record.Candidates
+	}
+	next.Candidates = slices.Clone(record.Candidates)
+	if leaving == "" {
+		next.Candidates = append(next.Candidates, ready...)
+	} else {
+		next.Candidates[slices.Index(next.Candidates, leaving)] = ready[0]
+	}
+	manager.change(group, next, "candidateReplaced")
+}
+
+// ready invites the VMs and returns those that may be named, once all are ready
+// or the time for it is over.
+func (manager *Manager) ready(group *Group, joining []string) []string {
+	var ready []string
 	for _, vm := range joining {
 		group.Invite(vm)
-		ready = group.Ready(vm) && ready
+		if group.Ready(vm) {
+			ready = append(ready, vm)
+		}
 	}
-	if ready {
-		record.Previous, record.Candidates = record.Candidates, candidates
-		manager.change(group, record, "candidateReplaced")
+	now := manager.Clock.Now()
+	late := false
+	manager.watched(group.ID, func(watch *watch) {
+		if watch.inviting.IsZero() {
+			watch.inviting = now
+		}
+		if late = now.Sub(watch.inviting) >= inviteTime; late || len(ready) == len(joining) {
+			watch.inviting = time.Time{}
+		}
+		if late && len(ready) == 0 {
+			watch.skipped++
+		}
+	})
+	if late && len(ready) == 0 {
+		group.Disinvite()
 	}
+	if late || len(ready) == len(joining) {
+		return ready
+	}
+	return nil
 }
 
 // change writes the next revision of the record.
@@ -141,26 +181,33 @@
 	return text
 }
 
-// replacement returns the next list of candidates and the VMs that join, or
-// nothing if the list is to stay. At most one candidate is replaced at a time; a
-// list that is too short is filled up first.
-func (manager *Manager) replacement(spec configurer.GroupSpec, group *Group, record Record) (candidates, joining []string) {
-	spare := slices.DeleteFunc(manager.order(spec), func(vm string) bool { return slices.Contains(record.Candidates, vm) })
-	if missing := min(candidateCount-len(record.Candidates), len(spare)); missing > 0 {
-		return slices.Concat(record.Candidates, spare[:missing]), spare[:missing]
-	}
-	for index, vm := range record.Candidates {
-		if vm == manager.VM || !manager.Liveness.Leaving(vm) && !manager.dead(group, vm) {
+// replacement returns the candidate that is to be replaced, or none if the list
+// is too short, and the VMs to invite. At most one candidate is replaced at a
+// time. While the previous list is set, only a candidate that has joined and
+// died before it was complete is replaced: every entry is then stored by a
+// majority of the previous list.
+func (manager *Manager) replacement(spec configurer.GroupSpec, group *Group, record Record) (leaving string, joining []string) {
+	spare := slices.DeleteFunc(manager.order(spec), func(vm string) bool { return slices.Contains(record.members(), vm) })
+	if len(spare) == 0 {
+		return "", nil
+	}
+	manager.watched(spec.ID, func(watch *watch) {
+		first := watch.skipped % len(spare)
+		spare = slices.Concat(spare[first:], spare[:first])
+	})
+	joint := len(record.Previous) > 0
+	if missing := min(candidateCount-len(record.Candidates), len(spare)); missing > 0 && !joint {
+		return "", spare[:missing]
+	}
+	for _, vm := range record.Candidates {
+		if vm == manager.VM || joint && !record.joining(vm) {
 			continue
 		}
-		if len(spare) == 0 {
-			return nil, nil
+		if manager.Liveness.Leaving(vm) || manager.dead(group, vm) {
+			return vm, spare[:1]
 		}
-		candidates = slices.Clone(record.Candidates)
-		candidates[index] = spare[0]
-		return candidates, spare[:1]
 	}
-	return nil, nil
+	return "", nil
 }
 
 // dead reports whether the candidate has answered neither its peers nor the
--- a/internal/replicator/group.go
+++ b/internal/replicator/group.go
@@ -38,6 +38,8 @@
 	Record   Record // the newest record known at the start
 	// OnRecord, if set, is told of a newer record that a candidate has sent.
 	OnRecord func(Record)
+	// Leaving, if set, reports whether a VM is about to stop.
+	Leaving func(vm string) bool
 
 	prepareOnce sync.Once
 	changed     chan struct{} // wakes Run
--- a/internal/replicator/manager.go
+++ b/internal/replicator/manager.go
@@ -92,6 +92,8 @@
 	lost      time.Time            // since when no quorum of candidates is left
 	probed    time.Time            // when the candidates were asked last
 	unwritten *Record              // a write whose outcome is not known
+	inviting  time.Time            // when the present invitation began
+	skipped   int                  // VMs that were invited and did not become ready
 	dead      map[string]time.Time // candidates, since when they do not answer
 }
 
@@ -214,6 +216,7 @@
 	group := &Group{
 		ID: spec.ID, VM: manager.VM, Clock: manager.Clock, Timing: manager.Timing, Caller: manager.Caller,
 		Member: member, Recorder: manager.Recorder, Record: record, OnRecord: manager.learn,
+		Leaving: manager.Liveness.Leaving,
 	}
 	group.prepare()
 	group.retired = manager.retired
@@ -254,6 +257,16 @@
 	return running.group, true
 }
 
+// Holder returns the VM that serves the group and its term, as far as this VM
+// knows it as a candidate.
+func (manager *Manager) Holder(id string) (vm string, term uint64, known bool) {
+	group, ok := manager.Group(id)
+	if !ok {
+		return "", 0, false
+	}
+	return group.Holder()
+}
+
 // Record returns the newest record that this VM knows.
 func (manager *Manager) Record(id string) (Record, bool) { return manager.record(id) }
 
--- a/internal/replicator/release.go
+++ b/internal/replicator/release.go
@@ -36,25 +36,38 @@
 	return group.awaitSuccessor(ctx, tenure.Term())
 }
 
-// Retire keeps this VM from becoming holder again.
+// Retire keeps this VM from becoming holder again. It does not end a lease under
+// which the member has begun; Release does.
 func (group *Group) Retire() {
+	group.prepare()
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	group.retired = true
+	if group.tenure != nil && group.tenure.phase == electing {
+		group.tenure.loseLocked("the VM stops")
+	}
 }
 
-// successor returns the first synchronized candidate that has answered lately.
+// successor returns the first synchronized candidate that has answered lately. A
+// candidate that is about to stop comes last.
 func (tenure *tenure) successor() string {
+	group := tenure.group
+	candidates := group.candidatesBehind()
 	tenure.mutex.Lock()
 	defer tenure.mutex.Unlock()
-	now := tenure.group.Clock.Now()
-	for _, vm := range tenure.group.candidatesBehind() {
+	now := group.Clock.Now()
+	leaving := ""
+	for _, vm := range candidates {
 		known := tenure.peers[vm]
-		if known != nil && known.synchronized && now.Sub(known.answered) < tenure.group.Timing.Suspicion {
+		if known == nil || !known.synchronized || now.Sub(known.answered) >= group.Timing.Suspicion {
+			continue
+		}
+		if group.Leaving == nil || !group.Leaving(vm) {
 			return vm
 		}
+		leaving = vm
 	}
-	return ""
+	return leaving
 }
 
 // release ends the work of the member, then the lease, and tells the candidates.
--- a/internal/replicator/repair.go
+++ b/internal/replicator/repair.go
@@ -19,6 +19,9 @@
 const (
 	// formDelay separates the VMs that may form the same group.
 	formDelay = 500 * time.Millisecond
+	// settleTime lets VMs that start together hear of each other before one of
+	// them chooses candidates. Heartbeats between other VMs take 1 s.
+	settleTime = time.Second
 	// lostAfter is how long no quorum of candidates is left before the group is
 	// formed anew. It is several leases long.
 	lostAfter     = 5 * time.Second
@@ -54,7 +57,7 @@
 		if watch.missing.IsZero() {
 			watch.missing = now
 		}
-		due = now.Sub(watch.missing) >= delay
+		due = now.Sub(watch.missing) >= settleTime+delay
 	})
 	if !due {
 		return
