--- a/internal/configurer/editor.go
+++ b/internal/configurer/editor.go
@@ -127,7 +127,7 @@
 	if editor.WriteID != nil {
 		edit.writeID = editor.WriteID()
 	}
-	var open *attempt // the last write, while its outcome is unknown
+	var open *attempt // a write whose outcome is unknown
 	for pause := firstPause; ; pause = min(2*pause, maxPause) {
 		result, done, err := editor.step(ctx, edit, &open)
 		if done {
@@ -135,7 +135,7 @@
 		}
 		if sleepErr := clocker.Sleep(ctx, editor.Clock, pause/2+rand.N(pause)); sleepErr != nil {
 			outcome := ErrNotAccepted
-			if open != nil && open.uncertain {
+			if open != nil {
 				outcome = ErrOutcomeUnknown
 			}
 			return Result{}, fmt.Errorf("section %q: %w: %w", edit.section, outcome, err)
@@ -152,10 +152,10 @@
 	}
 	if last := *open; last != nil && current.version != last.version {
 		// The index has moved on, so the attempt cannot take effect any more.
-		switch current.index.judge(last.revision, edit.writeID) {
-		case wasWritten:
+		switch current.index.outcomeOf(last.revision, edit.writeID) {
+		case writeDone:
 			return Result{Revision: last.revision, Changed: true}, true, nil
-		case forgotten:
+		case writeForgotten:
 			return Result{}, true, fmt.Errorf("section %q: %d revisions followed before the answer was read back: %w",
 				edit.section, current.index.Revision-last.revision, ErrOutcomeUnknown)
 		}
@@ -177,10 +177,11 @@
 	case errors.Is(err, platformer.ErrTooLarge):
 		return Result{}, true, fmt.Errorf("section %q: index: %w: %w", edit.section, ErrNotAccepted, err)
 	default:
-		// After a conflict the index is read again too: an earlier send of the
-		// same write may be what changed it.
 		definite := errors.Is(err, platformer.ErrConflict) || errors.Is(err, platformer.ErrRateLimited)
 		(*open).uncertain = (*open).uncertain || !definite
+		if !(*open).uncertain {
+			*open = nil
+		}
 		return Result{}, false, err
 	}
 }
@@ -236,7 +237,8 @@
 	return nil, Result{}, true, conflict
 }
 
-// validate checks the whole document with the edited section.
+// validate checks the whole document with the edited section. The former body
+// of the section need not be valid, so that a fault in it can be repaired.
 func (editor *Editor) validate(ctx context.Context, edit edit, index Index) error {
 	bodies := map[string][]byte{}
 	for _, name := range index.BodyNames() {
@@ -246,24 +248,26 @@
 		}
 		bodies[name] = body
 	}
-	lookUp := func(name string) ([]byte, bool) {
+	others, err := index.without(edit.section).decode(func(name string) ([]byte, bool) {
 		body, ok := bodies[name]
 		return body, ok
-	}
-	before, err := Assemble(index, lookUp)
+	})
 	if err != nil {
 		return err
 	}
-	var after *Document
-	if edit.content == nil {
-		after, err = before.WithoutSection(edit.section)
-	} else {
-		after, err = before.WithSection(edit.section, *edit.content)
+	if edit.content != nil {
+		others[edit.section] = *edit.content
 	}
+	document, err := NewDocument(index.Revision+1, others)
 	if err != nil {
 		return err
 	}
-	return after.validateChange(before, edit.section)
+	// A new section and one that cannot be decoded have no former services.
+	former, err := DecodeSection(edit.section, bodies[BodyPrefix+index.Sections[edit.section].Body])
+	if err != nil {
+		former = Section{}
+	}
+	return document.validateChange(edit.section, former.withDefaults())
 }
 
 // writeBody stores the body under its hash. A conflict means that it is there
--- a/internal/configurer/editor_test.go
+++ b/internal/configurer/editor_test.go
@@ -21,10 +21,10 @@
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
-// hastyClock shortens pauses to a thousandth. Deadlines stay as they are.
-type hastyClock struct{ clocker.System }
+// fastClock shortens pauses to a thousandth. Deadlines stay as they are.
+type fastClock struct{ clocker.System }
 
-func (clock hastyClock) NewTimer(d time.Duration) clocker.Timer {
+func (clock fastClock) NewTimer(d time.Duration) clocker.Timer {
 	return clock.System.NewTimer(d / 1000)
 }
 
@@ -62,7 +62,7 @@
 func TestEditOfAnOldVersion(t *testing.T) {
 	_, client, stop := startPlatform(t)
 	defer stop()
-	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
 	first, err := editor.Apply(ctx, "a", sectionBody("a", "one"), 0)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, first, configurer.Result{Revision: 1, Changed: true})
@@ -93,11 +93,11 @@
 func TestEditThatMakesTheDocumentInvalid(t *testing.T) {
 	platform, client, stop := startPlatform(t)
 	defer stop()
-	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
 	_, err := editor.Apply(ctx, "a", sectionBody("a", "one"), 0)
 	assert.NilError(t, err)
 	for _, body := range []string{
-		string(sectionBody("a", "thief")),
+		string(sectionBody("a", "other")),
 		`{"team":"a","zones":[{"name":"nowhere","lost":true}]}`,
 		`{"team":"a","unknown":1}`,
 	} {
@@ -117,7 +117,7 @@
 func TestEditDuringAnOutage(t *testing.T) {
 	platform, client, stop := startPlatform(t)
 	defer stop()
-	editor := &configurer.Editor{API: client, Clock: hastyClock{}}
+	editor := &configurer.Editor{API: client, Clock: fastClock{}}
 	short := func() context.Context {
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		t.Cleanup(cancel)
@@ -148,11 +148,72 @@
 func TestPlatformThatLostWrites(t *testing.T) {
 	_, client, stop := startPlatform(t)
 	defer stop()
-	editor := &configurer.Editor{API: client, Clock: hastyClock{}, Known: func() uint64 { return 5 }}
+	editor := &configurer.Editor{API: client, Clock: fastClock{}, Known: func() uint64 { return 5 }}
 	_, err := editor.Apply(t.Context(), "a", sectionBody("a", "one"), 0)
 	assert.Assert(t, errors.Is(err, configurer.ErrNotAccepted))
 }
 
+// Guards against an edit that is applied twice, or reported wrongly, when a
+// write takes effect after its editor has given up.
+func TestWriteThatTakesEffectLate(t *testing.T) {
+	platform, client, stop := startPlatform(t)
+	defer stop()
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
+	_, err := editor.Apply(ctx, "a", sectionBody("a", "one"), 0)
+	assert.NilError(t, err)
+	_, err = client.Put(ctx, configurer.BodyName(sectionBody("a", "two")), sectionBody("a", "two"), "")
+	assert.NilError(t, err)
+	// The body is there, so that the late write is the one of the index.
+	client.Timeout = 20 * time.Millisecond
+	api := &lateIndex{client, platform}
+	short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer cancel()
+	_, err = (&configurer.Editor{API: api, Clock: fastClock{}}).Apply(short, "a", sectionBody("a", "two"), 1)
+	assert.Assert(t, errors.Is(err, configurer.ErrOutcomeUnknown), err)
+	platform.SetOutage(standin.Outage{})
+	client.Timeout = 5 * time.Second
+	for index := (configurer.Index{}); index.Revision < 2; {
+		index, err = readIndex(ctx, client)
+		assert.NilError(t, err)
+	}
+	again, err := editor.Apply(ctx, "a", sectionBody("a", "two"), 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, configurer.Result{Revision: 2})
+}
+
+// lateIndex delays the writes of the index until the outage ends.
+type lateIndex struct {
+	*platformer.Client
+	platform *standin.Platform
+}
+
+func (api *lateIndex) Put(ctx context.Context, name string, value []byte, version string) (string, error) {
+	if name == configurer.IndexName {
+		api.platform.SetOutage(standin.Outage{Mode: standin.Late, Kinds: []standin.Kind{standin.Put}})
+	}
+	return api.Client.Put(ctx, name, value, version)
+}
+
+// Guards against a section in force that is invalid for this version of the
+// program and that nobody can repair for that reason.
+func TestInvalidSectionCanBeRepaired(t *testing.T) {
+	_, client, stop := startPlatform(t)
+	defer stop()
+	ctx, editor := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
+	old := []byte(`{"team":"a","fieldOfAnotherVersion":1}`)
+	_, err := client.Put(ctx, configurer.BodyName(old), old, "")
+	assert.NilError(t, err)
+	hash := configurer.BodyName(old)[len(configurer.BodyPrefix):]
+	index := fmt.Appendf(nil, `{"revision":4,"writeId":"w","sections":{"a":{"body":%q,"revision":4}}}`, hash)
+	_, err = client.Put(ctx, configurer.IndexName, index, "")
+	assert.NilError(t, err)
+	_, err = editor.Apply(ctx, "b", sectionBody("b", "one"), 4)
+	assert.ErrorContains(t, err, "fieldOfAnotherVersion")
+	result, err := editor.Apply(ctx, "a", sectionBody("a", "one"), 4)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, uint64(5))
+}
+
 // overtaken lets another editor replace the section between a lost answer and
 // the read-back.
 type overtaken struct {
@@ -177,12 +238,12 @@
 func TestLostAnswerThenOvertaken(t *testing.T) {
 	_, client, stop := startPlatform(t)
 	defer stop()
-	ctx, other := t.Context(), &configurer.Editor{API: client, Clock: hastyClock{}}
+	ctx, other := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
 	api := &overtaken{API: client, act: func() {
 		_, err := other.Apply(ctx, "a", sectionBody("a", "second"), 1)
 		assert.NilError(t, err)
 	}}
-	result, err := (&configurer.Editor{API: api, Clock: hastyClock{}}).Apply(ctx, "a", sectionBody("a", "first"), 0)
+	result, err := (&configurer.Editor{API: api, Clock: fastClock{}}).Apply(ctx, "a", sectionBody("a", "first"), 0)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, result, configurer.Result{Revision: 1, Changed: true})
 	index, err := readIndex(ctx, client)
@@ -190,15 +251,65 @@
 	assert.Equal(t, index.Revision, uint64(2))
 }
 
+// outrun lets others make many revisions just before the first write of the
+// index.
+type outrun struct {
+	platformer.API
+	once sync.Once
+	act  func()
+}
+
+func (api *outrun) Put(ctx context.Context, name string, value []byte, version string) (string, error) {
+	if name == configurer.IndexName {
+		api.once.Do(api.act)
+	}
+	return api.API.Put(ctx, name, value, version)
+}
+
+// Guards against a refused write that is reported as unknown because more
+// revisions followed than the index remembers.
+func TestConflictThenManyRevisions(t *testing.T) {
+	_, client, stop := startPlatform(t)
+	defer stop()
+	const others = 40
+	ctx, other := t.Context(), &configurer.Editor{API: client, Clock: fastClock{}}
+	api := &outrun{API: client, act: func() {
+		for number := range others {
+			_, err := other.Apply(ctx, "b", fmt.Appendf(nil, `{"team":"t%d"}`, number), uint64(number))
+			assert.NilError(t, err)
+		}
+	}}
+	result, err := (&configurer.Editor{API: api, Clock: fastClock{}}).Apply(ctx, "a", sectionBody("a", "one"), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, uint64(others+1))
+}
+
 type accepted struct {
 	section, team string
 	base          uint64
 }
 
-// race lets editors edit a few sections while answers are lost, and returns the
-// accepted edits by revision.
+// flaky fails every n-th read, also those that read back a lost answer. n is at
+// least 3: an edit needs up to two reads in a row, and every second failure in
+// step with it would stop it for good.
+type flaky struct {
+	platformer.API
+	every, seen int // one editor makes one call at a time
+}
+
+func (api *flaky) Get(ctx context.Context, name string) (platformer.Object, error) {
+	api.seen++
+	if api.every > 0 && api.seen%api.every == 0 {
+		return platformer.Object{}, errors.New("connection refused")
+	}
+	return api.API.Get(ctx, name)
+}
+
+// race lets editors edit a few sections while answers are lost and reads fail,
+// and returns the accepted edits by revision.
 func race(t *rapid.T, platform *standin.Platform, client *platformer.Client) map[uint64]accepted {
 	platform.LoseEvery(rapid.SampledFrom([]int{0, 2, 3, 5}).Draw(t, "loseEvery"))
+	failing := rapid.SampledFrom([]int{0, 3, 4, 7}).Draw(t, "failingReads")
 	editors := rapid.IntRange(2, 5).Draw(t, "editors")
 	sections := rapid.IntRange(1, 3).Draw(t, "sections")
 	var mutex sync.Mutex
@@ -207,7 +318,7 @@
 	for number := range editors {
 		plan := rapid.SliceOfN(rapid.IntRange(0, sections-1), 1, 5).Draw(t, "plan")
 		group.Go(func() error {
-			editor := &configurer.Editor{API: client, Clock: hastyClock{}}
+			editor := &configurer.Editor{API: &flaky{API: client, every: failing}, Clock: fastClock{}}
 			for step, target := range plan {
 				index, err := readIndex(ctx, client)
 				if err != nil {
--- a/internal/dispatcher/failures_test.go
+++ b/internal/dispatcher/failures_test.go
@@ -64,6 +64,7 @@
 // Guards against a frozen upstream that keeps its keys, and against one that
 // returns and still acts on the grant that it had.
 func TestFrozenUpstreamReturns(t *testing.T) {
+	t.Parallel()
 	for _, checks := range []bool{true, false} {
 		run(t, checks, three, func(t *testing.T, bench *bench) {
 			key := bench.keyOf("u1")
@@ -168,6 +169,7 @@
 // Guards against a request that takes down every upstream to which its caller's
 // repeats are sent.
 func TestCrashRequestTakesDownAtMostTwo(t *testing.T) {
+	t.Parallel()
 	for _, rank := range []queuer.Rank{queuer.Lookup, queuer.Transaction} {
 		run(t, true, []string{"u1", "u2", "u3", "u4"}, func(t *testing.T, bench *bench) {
 			var last outcome
@@ -243,6 +245,7 @@
 // Guards against a planned stop that fails requests, or that sends to the
 // leaving upstream after 3 s, whoever announces the stop.
 func TestDrainUnderLoad(t *testing.T) {
+	t.Parallel()
 	causes := map[string]func(*bench){
 		"document": func(bench *bench) {
 			bench.document = configurer.Document{Sections: map[string]configurer.Section{"ops": {
@@ -304,7 +307,7 @@
 }
 
 // Guards against a planned hand-over that cuts requests in flight, that forgets
-// their slots, or that starts a key elsewhere while it runs.
+// their slots, or whose outcomes the next holder never learns.
 func TestHandOver(t *testing.T) {
 	run(t, true, three, func(t *testing.T, bench *bench) {
 		key, first := bench.keyOf("u1"), bench.lease
@@ -325,18 +328,83 @@
 			}
 		}
 		successor := bench.successor()
+		bench.report.Store(successor)
 		assert.NilError(t, successor.Begin(t.Context(), &lease{term: 2}, state))
 		bench.sleep(100 * time.Millisecond)
 		assert.Equal(t, taken(successor, "u1"), 1)
+		assert.Equal(t, sendTo(successor, bench.request("b1", key, queuer.Transaction)).kind, answerer.OutcomeUnknown)
 		assert.Equal(t, (<-running).upstream, "u1")
 		synctest.Wait()
-		ended := false
-		for _, entries := range first.copies {
-			ended = ended || len(entries.Ended) == 1 && entries.Ended[0] == "b1"
-		}
-		assert.Assert(t, ended, "the end of b1 was not copied")
-		successor.Ended([]string{"b1"})
 		assert.Equal(t, taken(successor, "u1"), 0)
+		assert.Equal(t, sendTo(successor, bench.request("b1", key, queuer.Transaction)).kind, answerer.DuplicateDone)
 		bench.end(successor)
 	})
 }
+
+// Guards against a new holder that does not know what the upstreams still run
+// for the lost one: the key would start elsewhere, and the slots would be
+// exceeded.
+func TestTakeOverFindsRequestsInFlight(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		run(t, checks, three, func(t *testing.T, bench *bench) {
+			key, first := bench.keyOf("u1"), bench.lease
+			long := bench.request("b1", key, queuer.Transaction)
+			long.Header.Set(standin.HeaderServiceTime, "2s")
+			running := bench.async(long)
+			first.set(func() { first.expired = true })
+			moved := bench.dispatcher.Status().Shards
+			moved[long.Shard] = "u2"
+			successor := bench.successor()
+			assert.NilError(t, successor.Begin(t.Context(), &lease{term: 2}, replicator.State{
+				Assignment: replicator.Assignment{Term: 1, Version: 9, Shards: moved},
+			}))
+			bench.sleep(100 * time.Millisecond)
+			assert.Equal(t, taken(successor, "u1"), 1)
+			got := sendTo(successor, bench.request("l1", key, queuer.Lookup))
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.upstream, "u2")
+			assert.NilError(t, (<-running).err)
+			assert.Assert(t, taken(successor, "u1") == 0)
+			bench.end(successor)
+		})
+	}
+}
+
+// Guards against a takeover that waits for the grants of an upstream whose
+// process has ended, and against one that does not wait for a frozen one.
+func TestTakeOverWithDeadOrFrozenUpstream(t *testing.T) {
+	for name, fail := range map[string]func(*bench){
+		"dead":   func(bench *bench) { bench.kill("u1") },
+		"frozen": func(bench *bench) { bench.freeze("u1", true) },
+	} {
+		run(t, true, three, func(t *testing.T, bench *bench) {
+			key, shards := bench.keyOf("u2"), bench.dispatcher.Status().Shards
+			fail(bench)
+			bench.dispatcher.End(false)
+			bench.begin(&lease{term: 2}, replicator.State{Assignment: replicator.Assignment{Term: 1, Version: 9, Shards: shards}})
+			waited := servedAgain(bench, key) + 100*time.Millisecond
+			assert.Equal(t, waited < 200*time.Millisecond, name == "dead", "%s: %v", name, waited)
+			assert.Assert(t, waited < time.Second, "%s: %v", name, waited)
+		})
+	}
+}
+
+// Guards against a suspect that stops its upstream while a long upload runs.
+func TestSuspectDoesNotWaitForLongWork(t *testing.T) {
+	run(t, true, []string{"u1", "u2"}, func(t *testing.T, bench *bench) {
+		crash := bench.request("c1", bench.keyOf("u1"), queuer.Transaction)
+		crash.Fingerprint = 77
+		crash.Header.Set(standin.HeaderCrash, "yes")
+		bench.send(crash)
+		bench.sleep(3 * time.Second)
+		upload := bench.request("up1", "k", queuer.Upload)
+		upload.Header.Set(standin.HeaderServiceTime, "4s")
+		running := bench.async(upload)
+		suspect := bench.request("c2", "k", queuer.Lookup)
+		suspect.Fingerprint = 77
+		refused := bench.async(suspect)
+		assert.Assert(t, servedAgain(bench, "k") < time.Second)
+		assert.Equal(t, (<-refused).kind, answerer.NotRunOverloaded)
+		assert.NilError(t, (<-running).err)
+	})
+}
--- a/internal/dispatcher/placement_test.go
+++ b/internal/dispatcher/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -47,6 +48,7 @@
 
 // Guards against moves without gain: an even load must move nothing.
 func TestEvenLoadMovesNothing(t *testing.T) {
+	t.Parallel()
 	run(t, true, three, func(t *testing.T, bench *bench) {
 		version := bench.dispatcher.Status().Version
 		assert.Equal(t, len(load(bench, 3, 30*time.Second, func(client, n int) string {
@@ -59,6 +61,7 @@
 // Guards against a slow upstream that keeps its shards, and against one that is
 // not given any back after it has recovered.
 func TestSlowUpstreamLosesItsShare(t *testing.T) {
+	t.Parallel()
 	run(t, true, []string{"u1", "u2", "u3", "u4"}, func(t *testing.T, bench *bench) {
 		bench.nodes["u1"].stand.Change(func(behavior *standin.Behavior) { behavior.SlowFactor = 10 })
 		before := shardsOf(bench, "u1")
@@ -72,6 +75,7 @@
 
 // Guards against hot keys that stay together on one upstream.
 func TestHotKeysAreSpread(t *testing.T) {
+	t.Parallel()
 	run(t, true, three, func(t *testing.T, bench *bench) {
 		var hot []string
 		for n := 0; len(hot) < 3; n++ {
@@ -121,6 +125,7 @@
 // Guards against an upstream that joins and gets nothing, or everything at
 // once, and against a removed one that is kept.
 func TestUpstreamsComeAndGo(t *testing.T) {
+	t.Parallel()
 	run(t, true, []string{"u1", "u2"}, func(t *testing.T, bench *bench) {
 		bench.startNode("u3")
 		bench.service.Upstreams = append(bench.service.Upstreams,
@@ -168,6 +173,7 @@
 
 // Guards against a repeat that runs after the group has lost its memory.
 func TestLostMemoryRefusesPossibleRepeats(t *testing.T) {
+	t.Parallel()
 	run(t, true, three, func(t *testing.T, bench *bench) {
 		bench.dispatcher.End(false)
 		bench.begin(&lease{term: 2}, replicator.State{MemoryLost: bench.clock.Now()})
@@ -198,7 +204,7 @@
 		bench.send(crash)
 		bench.sleep(3 * time.Second)
 		long := bench.request("b1", "k", queuer.Transaction)
-		long.Header.Set(standin.HeaderServiceTime, "1s")
+		long.Header.Set(standin.HeaderServiceTime, "400ms")
 		running := bench.async(long)
 		suspect := bench.request("c2", "k", queuer.Lookup)
 		suspect.Fingerprint = 77
@@ -213,3 +219,46 @@
 		assert.Equal(t, bench.events("fingerprintConvicted"), 0)
 	})
 }
+
+// Guards against uploads that take the service of lookups and transactions, and
+// against uploads that are cut or starved by an overload.
+func TestOverloadOfUploads(t *testing.T) {
+	t.Parallel()
+	run(t, true, []string{"u1"}, func(t *testing.T, bench *bench) {
+		bench.document = configurer.Document{Sections: map[string]configurer.Section{"team": {Ranks: []configurer.RankPolicy{
+			{Rank: queuer.Lookup, Target: configurer.Duration(time.Second), MinimumShare: 0.2},
+			{Rank: queuer.Transaction, Target: configurer.Duration(2 * time.Second), MinimumShare: 0.2},
+			{Rank: queuer.Upload, Target: configurer.Duration(2 * time.Second), MinimumShare: 0.1},
+		}}}}
+		bench.update()
+		kinds := make([]map[answerer.Kind]int, queuer.RankCount)
+		var mutex sync.Mutex
+		var clients sync.WaitGroup
+		until := bench.clock.Now().Add(20 * time.Second)
+		offer := func(rank queuer.Rank, every time.Duration) {
+			kinds[rank] = map[answerer.Kind]int{}
+			for n := 0; bench.clock.Now().Before(until); n++ {
+				request := bench.request(fmt.Sprintf("%v-%d", rank, n), fmt.Sprintf("k%d", n), rank)
+				clients.Go(func() {
+					got := bench.send(request)
+					mutex.Lock()
+					defer mutex.Unlock()
+					kinds[rank][got.kind]++
+				})
+				bench.sleep(every)
+			}
+		}
+		var offers sync.WaitGroup
+		offers.Go(func() { offer(queuer.Upload, 2500*time.Microsecond) }) // ten times what two slots can do
+		offers.Go(func() { offer(queuer.Lookup, 10*time.Millisecond) })
+		offers.Go(func() { offer(queuer.Transaction, 100*time.Millisecond) })
+		offers.Wait()
+		clients.Wait()
+		assert.Assert(t, kinds[queuer.Lookup][""] >= 1980, "%v", kinds)
+		assert.Assert(t, kinds[queuer.Transaction][""] >= 198, "%v", kinds)
+		assert.Assert(t, kinds[queuer.Upload][""] >= 200, "%v", kinds)
+		for kind := range kinds[queuer.Upload] {
+			assert.Assert(t, kind == "" || kind.Answer().NotRun, "%v", kinds)
+		}
+	})
+}
--- a/internal/dispatcher/random_test.go
+++ b/internal/dispatcher/random_test.go
@@ -57,6 +57,7 @@
 	copies    []replicator.Entries
 	former    []func()
 	frozen    map[string]bool
+	froze     map[string]bool // at any time
 }
 
 // Guards against a key with two owners, a non-idempotent request that runs
@@ -64,6 +65,7 @@
 // any order of faults. The invariants of the asserter, such as the slots, end
 // the run by a panic.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		checks := rapid.Bool().Draw(rt, "checksGrants")
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 5, 60).Draw(rt, "steps")
@@ -78,7 +80,7 @@
 func randomRun(t *testing.T, checks bool, steps []step) error {
 	world := &world{
 		bench: newBench(t, checks, three), outcomes: map[string][]outcome{}, term: 1,
-		unplanned: map[uint64]bool{}, frozen: map[string]bool{},
+		unplanned: map[uint64]bool{}, frozen: map[string]bool{}, froze: map[string]bool{},
 	}
 	world.lease.onCopy = world.keep
 	world.begin(world.lease, replicator.State{})
@@ -114,6 +116,7 @@
 		}
 	case "freeze", "thaw":
 		world.frozen[step.upstream] = step.action == "freeze"
+		world.froze[step.upstream] = world.froze[step.upstream] || world.frozen[step.upstream]
 		world.freeze(step.upstream, step.action == "freeze")
 	case "kill":
 		if !world.frozen[step.upstream] {
@@ -187,14 +190,7 @@
 	world.mutex.Unlock()
 	successor := world.successor()
 	successor.SetHomes(allShards())
-	former.set(func() {
-		former.onCopy = func(entries replicator.Entries) error {
-			if len(entries.Ended) > 0 {
-				successor.Ended(entries.Ended)
-			}
-			return world.keep(replicator.Entries{Requests: entries.Requests})
-		}
-	})
+	world.report.Store(successor)
 	world.former = append(world.former, func() { world.end(old) })
 	world.dispatcher = successor
 	world.begin(&lease{term: world.term, onCopy: world.keep}, state)
@@ -275,7 +271,7 @@
 		for _, other := range known {
 			certain := world.certain(other.id) &&
 				(world.certain(record.Request) || world.service.ChecksGrants && record.Time.After(other.at))
-			if other.upstream != record.upstream && certain && !world.takenOver(other.term, record.Term) {
+			if other.upstream != record.upstream && certain && !world.takenOver(other.upstream, record.upstream, other.term, record.Term) {
 				faults = append(faults, fmt.Errorf("%v: key %s starts at %s (request %s, term %d) while %s runs it (request %s, term %d)",
 					record.Time, record.Key, record.upstream, record.Request, record.Term, other.upstream, other.id, other.term))
 			}
@@ -294,12 +290,16 @@
 	return false
 }
 
-// takenOver reports whether a holder was lost between the terms. Its requests
-// in flight are then unknown to the next one. An upstream that does not check
-// grants may also start them after work of the next holder.
-func (world *world) takenOver(from, to uint64) bool {
+// takenOver reports whether a holder was lost between the terms while the
+// upstream of the earlier term was frozen: it could not tell the next holder
+// what it runs. An upstream that does not check grants may also start such work
+// after work of the next holder.
+func (world *world) takenOver(upstream, other string, from, to uint64) bool {
 	if from > to && !world.service.ChecksGrants {
-		from, to = to, from
+		upstream, from, to = other, to, from
+	}
+	if !world.froze[upstream] {
+		return false
 	}
 	for term := from + 1; term <= to; term++ {
 		if world.unplanned[term] {
--- a/internal/dispatcher/renewals.go
+++ b/internal/dispatcher/renewals.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"syscall"
 	"time"
 
+	"github.com/cuminstream/cuminstream/internal/replicator"
 	"github.com/cuminstream/cuminstream/internal/timeliner"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
@@ -11,11 +13,14 @@
 // renewals keeps the grant of one upstream, and thereby learns whether the
 // upstream answers. It ends with the tenure or when the upstream has left.
 func (dispatcher *Dispatcher) renewals(tenure *tenure, name string) {
+	known := dispatcher.claim(tenure, name)
+	if known == nil {
+		return
+	}
 	ticker := dispatcher.Clock.NewTicker(renewalPeriod)
 	defer ticker.Stop()
 	for {
-		known := dispatcher.renew(tenure, name)
-		if known == nil {
+		if !dispatcher.renew(tenure, known) {
 			return
 		}
 		select {
@@ -27,15 +32,28 @@
 	}
 }
 
-// renew sends one renewal. It returns nil when there is nothing to renew any
-// more.
-func (dispatcher *Dispatcher) renew(tenure *tenure, name string) *upstream {
-	known, renewal := dispatcher.nextRenewal(tenure, name)
-	if known == nil {
+// claim returns the upstream, or nil when its renewals are running already. Two
+// renewals at once could release a place that the later one grants.
+func (dispatcher *Dispatcher) claim(tenure *tenure, name string) *upstream {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	known := dispatcher.upstreams[name]
+	if known == nil || known.renewing == tenure {
 		return nil
 	}
+	known.renewing = tenure
+	return known
+}
+
+// renew sends one renewal. It returns false when there is nothing to renew any
+// more.
+func (dispatcher *Dispatcher) renew(tenure *tenure, known *upstream) bool {
+	renewal := dispatcher.nextRenewal(tenure, known)
+	if renewal == nil {
+		return false
+	}
 	if _, ok := tenure.lease.Valid(); !ok {
-		return known
+		return true
 	}
 	ctx, cancel := clocker.WithTimeout(tenure.ctx, dispatcher.Clock, renewalTimeout)
 	defer cancel()
@@ -47,26 +65,36 @@
 		reply, err = dispatcher.Upstreams.Probe(ctx, renewal.spec)
 	}
 	dispatcher.renewed(tenure, known, renewal, reply, err)
-	return known
+	return true
 }
 
-func (dispatcher *Dispatcher) nextRenewal(tenure *tenure, name string) (*upstream, *renewal) {
+func (dispatcher *Dispatcher) nextRenewal(tenure *tenure, known *upstream) *renewal {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	known := dispatcher.upstreams[name]
-	if dispatcher.tenure != tenure || known == nil {
-		return nil, nil
-	}
-	covered := content{}
-	if known.health != lost {
-		covered = dispatcher.ownership.grantable(name, dispatcher.shardOf)
+	if dispatcher.tenure != tenure || dispatcher.upstreams[known.spec.Name] != known {
+		return nil
 	}
-	full := dispatcher.ownership.grant(name, covered, dispatcher.shardOf)
-	full.Group, full.Term = dispatcher.Group, tenure.term
-	renewal := known.renew(full, covered, dispatcher.Clock.Now())
-	renewal.releasing = dispatcher.ownership.releasing(name, covered)
+	renewal := known.renew(dispatcher.grantTo(known), dispatcher.Clock.Now())
+	renewal.grant.Group, renewal.grant.Term = dispatcher.Group, tenure.term
 	renewal.spec, renewal.checks = known.spec, dispatcher.service.ChecksGrants
-	return known, renewal
+	return renewal
+}
+
+// grantTo returns what the upstream is granted. A group may have 16384 shards,
+// so that the result is kept until something changes.
+func (dispatcher *Dispatcher) grantTo(known *upstream) *granting {
+	owners, name, isLost := dispatcher.ownership, known.spec.Name, known.health == lost
+	if kept := known.granting; kept != nil && kept.revision == owners.revision && kept.lost == isLost {
+		return kept
+	}
+	made := &granting{revision: owners.revision, lost: isLost, covered: content{}}
+	if !isLost {
+		made.covered = owners.grantable(name, dispatcher.shardOf)
+	}
+	made.full = owners.grant(name, made.covered, dispatcher.shardOf)
+	made.releasing = owners.releasing(name, made.covered)
+	known.granting = made
+	return made
 }
 
 // renewed handles the answer to a renewal.
@@ -74,9 +102,14 @@
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	var refused *Refused
-	if dispatcher.tenure != tenure || err != nil && !errors.As(err, &refused) {
+	if dispatcher.tenure != tenure {
+		return
+	}
+	if err != nil && !errors.As(err, &refused) {
+		known.absent = known.absent || errors.Is(err, syscall.ECONNREFUSED)
 		return
 	}
+	known.absent = false
 	now := dispatcher.Clock.Now()
 	known.lastAnswer = now
 	known.stamp = stamp{value: reply.Stamp, sent: renewal.sent, received: now}
@@ -97,6 +130,7 @@
 	if known.health == lost && len(tenure.unsaved) > 0 {
 		return // served again only once the losses are stored
 	}
+	dispatcher.reported(known, reply.Running, now)
 	known.confirm(renewal)
 	dispatcher.ownership.release(known.spec.Name, renewal.releasing)
 	if len(renewal.releasing) > 0 {
@@ -134,6 +168,32 @@
 	dispatcher.tenure.wake()
 }
 
+// reported compares the requests that the upstream runs with those that are in
+// flight. When the upstream begins to be served, the others are of a former
+// holder or were cut: their slots and keys stay taken until they are not
+// reported any more.
+func (dispatcher *Dispatcher) reported(known *upstream, running []Running, now time.Time) {
+	still := map[string]bool{}
+	for _, request := range running {
+		still[request.ID] = true
+		if known.health != up && request.ID != "" {
+			dispatcher.inherit(replicator.InFlight{
+				ID: request.ID, Key: request.Key, Upstream: known.spec.Name, Left: request.Left,
+			}, now)
+			if inherited, ok := known.inherited[request.ID]; ok {
+				inherited.reported = true
+				known.inherited[request.ID] = inherited
+			}
+		}
+	}
+	known.applySlots()
+	for id, inherited := range known.inherited {
+		if inherited.reported && !still[id] {
+			dispatcher.disinherit(known, id)
+		}
+	}
+}
+
 // survived decides the breakages that the upstream has outlived: those before
 // the answered renewal was sent.
 func (dispatcher *Dispatcher) survived(known *upstream, sent time.Time) {
--- a/internal/standin/platformer/protocol.go
+++ b/internal/standin/platformer/protocol.go
@@ -1,6 +1,7 @@
 package platformer
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -47,11 +48,18 @@
 	}
 }
 
-// guard counts the call, applies the outage and then the rate limit.
+// guard counts the call, applies the outage and then the rate limit. The body is
+// read first: the server notices only then that a waiting caller has gone.
 func (platform *Platform) guard(kind Kind, serve http.HandlerFunc) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		platform.count(kind)
-		platform.suffer(kind, request)
+		body, err := io.ReadAll(io.LimitReader(request.Body, maxValue+1))
+		if err != nil {
+			http.Error(writer, "body was cut", http.StatusBadRequest)
+			return
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		platform.applyOutage(kind, request)
 		if !platform.allow(kind) {
 			writer.Header().Set("Retry-After", "1")
 			http.Error(writer, "rate limit", http.StatusTooManyRequests)
@@ -94,13 +102,13 @@
 		http.Error(writer, err.Error(), http.StatusPreconditionRequired)
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(request.Body, maxValue+1))
+	value, err := io.ReadAll(request.Body) // guard has bounded it
 	if err != nil {
-		http.Error(writer, "body was cut", http.StatusBadRequest)
+		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
 	if len(value) > maxValue {
-		platform.tally(func(counters *Counters) { counters.TooLarge++ })
+		platform.updateCounters(func(counters *Counters) { counters.TooLarge++ })
 		http.Error(writer, "value is larger than 1000000 bytes", http.StatusRequestEntityTooLarge)
 		return
 	}
@@ -162,7 +170,7 @@
 			expired = true
 		case <-changed:
 		}
-		platform.suffer(Watch, request)
+		platform.applyOutage(Watch, request)
 	}
 }
 
