Exchange heartbeats through the heartbeater

Change: the daemon uses heartbeater.Heartbeater; a payload is sent only when it has changed; VMs that become suspected release the requests that wait for them.

Ruled out: frequent heartbeats to all VMs of a large fleet; only VMs that share a group exchange them above 32 VMs.

--- a/internal/starter/daemon.go
+++ b/internal/starter/daemon.go
@@ -80,6 +80,7 @@
 	daemon.parts.Exchange.register(daemon.parts.Server)
 	daemon.parts.Members.register(daemon.parts.Server)
 	daemon.parts.Pulse.register(daemon.parts.Server)
+	daemon.parts.Pulse.suspect = daemon.parts.Router.Suspect
 	ctx, cancel := context.WithCancel(context.Background())
 	daemon.cancel = cancel
 	daemon.group, ctx = errgroup.WithContext(ctx)
--- a/internal/starter/exchange.go
+++ b/internal/starter/exchange.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 
 	"github.com/cuminstream/cuminstream/internal/linker"
 	"github.com/cuminstream/cuminstream/internal/syncer"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
 // callFetch asks another VM for the objects that the caller lacks.
@@ -20,13 +20,11 @@
 type exchange struct {
 	store  *syncer.Store
 	caller linker.Caller
-
-	mutex  sync.Mutex
-	active bool
+	clock  clocker.Clock
 }
 
-func newExchange(store *syncer.Store, caller linker.Caller) *exchange {
-	return &exchange{store: store, caller: caller}
+func newExchange(store *syncer.Store, caller linker.Caller, clock clocker.Clock) *exchange {
+	return &exchange{store: store, caller: caller, clock: clock}
 }
 
 // register answers the fetch calls of other VMs.
@@ -40,32 +38,20 @@
 	})
 }
 
-// begin reports whether an exchange with the digest's sender is due. Only one
-// runs at a time, so that a burst of heartbeats causes a single fetch.
-func (exchange *exchange) begin(digest uint64) bool {
-	exchange.mutex.Lock()
-	defer exchange.mutex.Unlock()
-	if exchange.active || digest == exchange.store.Digest() {
-		return false
-	}
-	exchange.active = true
-	return true
-}
-
 // pull fetches from the VM until it has nothing newer.
 func (exchange *exchange) pull(ctx context.Context, vm string) {
-	defer func() {
-		exchange.mutex.Lock()
-		exchange.active = false
-		exchange.mutex.Unlock()
-	}()
 	for range maxFetches {
-		var objects []syncer.Object
-		if err := exchange.caller.Call(ctx, vm, callFetch, exchange.store.Summary(), &objects); err != nil {
-			return // the next heartbeat of any VM starts another exchange
-		}
-		if len(objects) == 0 || len(exchange.store.Merge(objects)) == 0 {
-			return
+		objects, err := exchange.fetch(ctx, vm)
+		if err != nil || len(objects) == 0 || len(exchange.store.Merge(objects)) == 0 {
+			return // news of any VM starts another exchange
 		}
 	}
 }
+
+func (exchange *exchange) fetch(ctx context.Context, vm string) ([]syncer.Object, error) {
+	ctx, cancel := clocker.WithTimeout(ctx, exchange.clock, exchangeTimeout)
+	defer cancel()
+	var objects []syncer.Object
+	err := exchange.caller.Call(ctx, vm, callFetch, exchange.store.Summary(), &objects)
+	return objects, err
+}
--- a/internal/starter/members.go
+++ b/internal/starter/members.go
@@ -93,7 +93,7 @@
 		Liveness: liveness{tracker: parts.Tracker, clock: parts.Clock, name: parts.Settings.Name, zone: parts.Settings.Zone},
 		Recorder: parts.Recorder, Specs: members.specs, Newest: members.newest, Member: members.begin,
 	}
-	parts.Pulse.held = members.held
+	parts.Pulse.held, parts.Pulse.records = members.held, members.records
 	parts.Store.Watches = parts.Pulse.watches
 	return members
 }
@@ -243,6 +243,17 @@
 	return maps.Clone(members.served)
 }
 
+// records returns the records of the groups of which this VM is a candidate.
+func (members *members) records() []replicator.Record {
+	var records []replicator.Record
+	for id := range members.all() {
+		if record, ok := members.manager.Record(id); ok {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
 // held returns the groups that this VM serves, with their terms.
 func (members *members) held() map[string]uint64 {
 	held := map[string]uint64{}
--- a/internal/starter/parts.go
+++ b/internal/starter/parts.go
@@ -32,7 +32,9 @@
 			func() clocker.Clock { return clocker.System{} },
 			newRegistry, newRecorder, newPlatform, newStore, newTracker, newServer, newPool, newHomer, newUpstreams,
 			newRouter, newOperator, newMembers, newPulse, newDaemon,
-			func(store *syncer.Store, pool *linker.Pool) *exchange { return newExchange(store, pool) },
+			func(store *syncer.Store, pool *linker.Pool, clock clocker.Clock) *exchange {
+				return newExchange(store, pool, clock)
+			},
 			func() *configurer.Store { return &configurer.Store{} },
 			locator.New,
 			func(locator *locator.Locator) *router.Registry { return &router.Registry{Locator: locator} },
--- a/internal/starter/pulse.go
+++ b/internal/starter/pulse.go
@@ -2,174 +2,213 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cuminstream/cuminstream/internal/heartbeater"
 	"github.com/cuminstream/cuminstream/internal/linker"
 	"github.com/cuminstream/cuminstream/internal/locator"
 	"github.com/cuminstream/cuminstream/internal/platformer"
+	"github.com/cuminstream/cuminstream/internal/replicator"
+	"github.com/cuminstream/cuminstream/internal/timeliner"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 	"github.com/cuminstream/cuminstream/pkg/tracker"
 )
 
-// callHeartbeat carries heartbeats.
-const callHeartbeat = "heartbeat"
-
-// listPeriod is the time between two readings of the platform's list of VMs.
-const listPeriod = time.Second
-
-// beat is the payload of a heartbeat.
-type beat struct {
-	Address     string            `cbor:"address"`
-	Operator    string            `cbor:"operator"`
-	Zone        string            `cbor:"zone"`
-	Leaving     bool              `cbor:"leaving"`
-	Incarnation uint64            `cbor:"incarnation"`
-	Digest      uint64            `cbor:"digest"`
-	Held        map[string]uint64 `cbor:"held"` // group -> term
+const (
+	// smallFleet is the number of VMs up to which every pair exchanges frequent
+	// heartbeats, so that a frozen holder is noticed in all zones at once.
+	smallFleet = 32
+	// zoneWatchers is the number of VMs of a zone that watch the platform.
+	zoneWatchers = 2
+)
+
+// news is the payload of heartbeats.
+type news struct {
+	Digest uint64            `cbor:"digest"` // of the sender's objects
+	Held   map[string]uint64 `cbor:"held"`   // group -> term, of the groups that the sender serves
 }
 
-// pulse exchanges heartbeats with the other VMs.
+// pulse exchanges heartbeats with other VMs, and acts on what they tell.
 type pulse struct {
-	settings    Settings
-	clock       clocker.Clock
-	api         platformer.API
-	tracker     *tracker.Tracker
-	pool        *linker.Pool
-	exchange    *exchange
-	locator     *locator.Locator
-	held        func() map[string]uint64
-	incarnation uint64
-	leaving     atomic.Bool
-	listed      atomic.Bool // the platform's list was read at the last attempt
+	settings  Settings
+	tracker   *tracker.Tracker
+	exchange  *exchange
+	locator   *locator.Locator
+	recorder  *timeliner.Recorder
+	heartbeat *heartbeater.Heartbeater
+
+	// held, records and suspect are set before Run.
+	held    func() map[string]uint64
+	records func() []replicator.Record
+	suspect func(vm string)
+
+	leaving atomic.Bool
+	listed  atomic.Bool // the platform's list was available at the last attempt
+
+	mutex  sync.Mutex
+	differ map[string]uint64 // VM -> digest that differed when it was last heard
+	pulls  chan struct{}
 }
 
 func newPulse(settings Settings, clock clocker.Clock, api platformer.API, tracked *tracker.Tracker, pool *linker.Pool,
-	exchange *exchange, places *locator.Locator,
-) *pulse {
-	return &pulse{
-		settings: settings, clock: clock, api: api, tracker: tracked, pool: pool, exchange: exchange, locator: places,
-		held: func() map[string]uint64 { return nil }, incarnation: uint64(clock.Now().UnixNano()),
+	exchange *exchange, places *locator.Locator, recorder *timeliner.Recorder,
+) (*pulse, error) {
+	seeds, err := settings.seeds()
+	if err != nil {
+		return nil, err
+	}
+	pulse := &pulse{
+		settings: settings, tracker: tracked, exchange: exchange, locator: places, recorder: recorder,
+		differ: map[string]uint64{}, pulls: make(chan struct{}, 1),
 	}
+	pulse.heartbeat = &heartbeater.Heartbeater{
+		Self: tracker.VM{
+			Name: settings.Name, Zone: settings.Zone, Address: settings.LinkAddress, Operator: settings.OperatorAddress,
+			Incarnation: uint64(clock.Now().UnixMilli()),
+		},
+		Tracker: tracked, Caller: pool, Clock: clock, Timing: settings.Timing(), Seeds: seeds,
+		Close: pulse.close, Leaving: pulse.leaving.Load, Payload: pulse.news, Receive: pulse.receive,
+		List: func(ctx context.Context) ([]platformer.VM, error) {
+			list, err := api.VMs(ctx)
+			pulse.listed.Store(err == nil)
+			return list, err
+		},
+	}
+	return pulse, nil
 }
 
+func (pulse *pulse) register(registrar linker.Registrar) { pulse.heartbeat.Register(registrar) }
+
+// leave tells the other VMs that this one is about to stop.
 func (pulse *pulse) leave() { pulse.leaving.Store(true) }
 
 // peers returns the names of the other VMs that are not gone.
 func (pulse *pulse) peers() []string {
-	var names []string
-	for _, member := range pulse.tracker.Peers("") {
-		names = append(names, member.Name)
+	members := pulse.tracker.Peers("")
+	names := make([]string, len(members))
+	for index, member := range members {
+		names[index] = member.Name
 	}
 	return names
 }
 
-// turn returns this VM's place in the order of the VMs that are alive.
-func (pulse *pulse) turn() int {
-	place := 0
-	for _, member := range pulse.tracker.Peers("") {
-		if member.State == tracker.Alive && member.Name < pulse.settings.Name {
-			place++
+// close returns the VMs that share a group with this one, or all VMs of a small
+// fleet.
+func (pulse *pulse) close() []string {
+	if names := pulse.peers(); len(names) < smallFleet {
+		return names
+	}
+	shared := map[string]bool{}
+	for _, record := range pulse.records() {
+		for _, vm := range slices.Concat(record.Candidates, record.Previous) {
+			shared[vm] = true
 		}
 	}
-	return place
+	delete(shared, pulse.settings.Name)
+	return slices.Collect(maps.Keys(shared))
 }
 
-// watches reports whether this VM is one of the two watchers of its zone.
-func (pulse *pulse) watches() bool {
-	const watchers = 2
+// before returns how many live VMs of the zone, or of all zones when it is
+// empty, come before this one in the order of their names.
+func (pulse *pulse) before(zone string) int {
 	place := 0
-	for _, member := range pulse.tracker.Peers(pulse.settings.Zone) {
+	for _, member := range pulse.tracker.Peers(zone) {
 		if member.State == tracker.Alive && member.Name < pulse.settings.Name {
 			place++
 		}
 	}
-	return place < watchers
+	return place
 }
 
-func (pulse *pulse) register(registrar linker.Registrar) {
-	registrar.Handle(callHeartbeat, func(ctx context.Context, from string, decode func(any) error) (any, error) {
-		var received beat
-		if err := decode(&received); err != nil {
-			return nil, err
-		}
-		pulse.receive(ctx, from, received)
-		return pulse.beat(), nil
-	})
-}
+func (pulse *pulse) turn() int { return pulse.before("") }
 
-func (pulse *pulse) beat() beat {
-	return beat{
-		Address: pulse.settings.LinkAddress, Operator: pulse.settings.OperatorAddress, Zone: pulse.settings.Zone,
-		Leaving: pulse.leaving.Load(), Incarnation: pulse.incarnation, Digest: pulse.exchange.store.Digest(), Held: pulse.held(),
-	}
+// watches reports whether this VM is one of the watchers of its zone.
+func (pulse *pulse) watches() bool { return pulse.before(pulse.settings.Zone) < zoneWatchers }
+
+func (pulse *pulse) news() any {
+	return news{Digest: pulse.exchange.store.Digest(), Held: pulse.held()}
 }
 
-func (pulse *pulse) receive(ctx context.Context, from string, received beat) {
-	pulse.tracker.Heard(tracker.VM{
-		Name: from, Zone: received.Zone, Address: received.Address, Operator: received.Operator, Incarnation: received.Incarnation, Leaving: received.Leaving,
-	})
+// receive takes over the news of another VM.
+func (pulse *pulse) receive(from string, decode func(any) error) {
+	var received news
+	if decode(&received) != nil {
+		return
+	}
 	for group, term := range received.Held {
 		pulse.locator.SetHolder(group, from, term)
 	}
-	if pulse.exchange.begin(received.Digest) {
-		pulse.exchange.pull(ctx, from)
+	pulse.mutex.Lock()
+	pulse.differ[from] = received.Digest
+	pulse.mutex.Unlock()
+	select {
+	case pulse.pulls <- struct{}{}:
+	default:
 	}
 }
 
-// Run sends heartbeats until ctx is done.
-func (pulse *pulse) Run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		pulse.readLists(ctx)
-		return nil
-	})
-	ticker := pulse.clock.NewTicker(pulse.settings.Heartbeat)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		intervals := map[string]time.Duration{}
-		for _, peer := range pulse.peers() {
-			intervals[peer] = pulse.settings.Heartbeat
-		}
-		pulse.tracker.Watch(intervals)
-		for peer := range intervals {
-			group.Go(func() error {
-				var answer beat
-				calling, cancel := clocker.WithTimeout(ctx, pulse.clock, pulse.settings.Suspicion)
-				defer cancel()
-				if pulse.pool.Call(calling, peer, callHeartbeat, pulse.beat(), &answer) == nil {
-					pulse.receive(ctx, peer, answer)
-				}
-				return nil
-			})
+// behind returns a VM whose objects differ from this VM's, and forgets the VMs
+// that have the same.
+func (pulse *pulse) behind() (string, bool) {
+	digest := pulse.exchange.store.Digest()
+	pulse.mutex.Lock()
+	defer pulse.mutex.Unlock()
+	for vm, other := range pulse.differ {
+		delete(pulse.differ, vm)
+		if other != digest {
+			return vm, true
 		}
-		pulse.tracker.Evaluate()
+	}
+	return "", false
+}
+
+// pull fetches newer objects from the VMs whose digest differs.
+func (pulse *pulse) pull(ctx context.Context) error {
+	for {
 		select {
 		case <-ctx.Done():
-		case <-ticker.C():
+			return nil
+		case <-pulse.pulls:
+		}
+		for vm, found := pulse.behind(); found; vm, found = pulse.behind() {
+			pulse.exchange.pull(ctx, vm)
 		}
 	}
-	return group.Wait()
 }
 
-func (pulse *pulse) readLists(ctx context.Context) {
-	for ctx.Err() == nil {
-		list, err := pulse.api.VMs(ctx)
-		pulse.listed.Store(err == nil)
-		if err != nil {
-			list, _ = pulse.settings.seeds()
-		}
-		var vms []tracker.VM
-		for _, vm := range list {
-			vms = append(vms, tracker.VM{Name: vm.Name, Zone: vm.Zone, Address: vm.Address, Operator: vm.Operator, Leaving: vm.Leaving})
-		}
-		vms = slices.DeleteFunc(vms, func(vm tracker.VM) bool { return vm.Name == pulse.settings.Name })
-		if len(vms) > 0 {
-			pulse.tracker.Listed(vms)
-		}
-		_ = clocker.Sleep(ctx, pulse.clock, listPeriod)
+// Run exchanges heartbeats until ctx is done.
+func (pulse *pulse) Run(ctx context.Context) error {
+	cancel := pulse.tracker.Listen(pulse.changed)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return pulse.heartbeat.Run(ctx) })
+	group.Go(func() error { return pulse.pull(ctx) })
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("heartbeats: %w", err)
+	}
+	return nil
+}
+
+// changed notes the transitions of other VMs.
+func (pulse *pulse) changed(change tracker.Change) {
+	if change.Restarted() || change.After.State == tracker.Suspected || change.After.State == tracker.Gone {
+		pulse.suspect(change.After.Name)
+	}
+	detail := change.After.Name + " is " + change.After.State.String()
+	if change.Restarted() {
+		detail = change.After.Name + " was restarted"
+	}
+	if change.Restarted() || change.Before.State != change.After.State || change.Before.Name == "" {
+		pulse.recorder.Record(timeliner.Event{Kind: "vmStateChanged", Detail: detail})
 	}
 }
+
+// exchangeTimeout bounds one fetch from another VM.
+const exchangeTimeout = 2 * time.Second
