Add operators' pages, golden cases of the CLI and two measurements

Cause: operators had no pages, and nothing guarded what they type and see.

Change: README, docs/operating.md; docs/settings.md, docs/cli.md and docs/errors.md are made from the programs (make docs) and a test fails when they differ; golden cases of the operations against the platform's stand-in; measurements of the added latency and of the control costs of idle VMs.

--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,13 @@
 
 format:
 	$(TOOL) gofumpt -w cmd internal pkg
+
+demo: build
+	./$(BIN)/demo
+
+measure: build
+	./$(BIN)/measure --losses 20
+	./$(BIN)/measure
+
+docs:
+	$(GO) run ./cmd/docs
--- a/internal/commander/completion.go
+++ b/internal/commander/completion.go
@@ -32,11 +32,7 @@
 func newCompletion(flags completionFlags) *completion { return &completion{shell: flags.Shell} }
 
 func (completion *completion) run(_ context.Context, streams streams) error {
-	var names []string
-	for _, entry := range table() {
-		names = append(names, entry.name)
-	}
-	words := strings.Join(names, " ")
+	words := strings.Join(Names(), " ")
 	switch completion.shell {
 	case "bash":
 		fmt.Fprintf(streams.output, "complete -o default -W %q cuminstream\n", words)
--- a/internal/commander/get.go
+++ b/internal/commander/get.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -51,7 +52,7 @@
 		return err
 	}
 	fmt.Fprintf(streams.errors, "revision %d\n", found.revision)
-	fmt.Fprintf(streams.output, "%s\n", found.body)
+	fmt.Fprintf(streams.output, "%s\n", bytes.TrimSpace(found.body))
 	return nil
 }
 
--- a/internal/commander/input.go
+++ b/internal/commander/input.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -55,9 +56,9 @@
 	}
 	switch {
 	case response.StatusCode == http.StatusNotFound:
-		return withCode(exitNotFound, "%s", body)
+		return withCode(exitNotFound, "%s", bytes.TrimSpace(body))
 	case response.StatusCode != http.StatusOK:
-		return withCode(exitInvalid, "%s", body)
+		return withCode(exitInvalid, "%s", bytes.TrimSpace(body))
 	}
 	if err := json.Unmarshal(body, answer); err != nil {
 		return withCode(exitUnavailable, "answer of VM at %s: %w", flags.Operator, err)
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -81,6 +82,6 @@
 
 // showConflict prints both versions of a section that two operators edited.
 func showConflict(conflict *configurer.ConflictError, streams streams) {
-	fmt.Fprintf(streams.errors, "--- section %s in force, changed in revision %d\n%s\n", conflict.Section, conflict.Revision, conflict.Current)
-	fmt.Fprintf(streams.errors, "--- your edit, based on revision %d, not applied\n%s\n", conflict.Base, conflict.Edited)
+	fmt.Fprintf(streams.errors, "--- section %s in force, changed in revision %d\n%s\n", conflict.Section, conflict.Revision, bytes.TrimSpace(conflict.Current))
+	fmt.Fprintf(streams.errors, "--- your edit, based on revision %d, not applied\n%s\n", conflict.Base, bytes.TrimSpace(conflict.Edited))
 }
--- a/internal/commander/table.go
+++ b/internal/commander/table.go
@@ -24,6 +24,15 @@
 	}
 }
 
+// Names returns the names of all operations.
+func Names() []string {
+	var names []string
+	for _, entry := range table() {
+		names = append(names, entry.name)
+	}
+	return names
+}
+
 func lookup(name string) (entry, bool) {
 	for _, entry := range table() {
 		if entry.name == name {
--- /dev/null
+++ b/internal/documenter/documenter.go
@@ -0,0 +1,93 @@
+// Package documenter makes documentation pages from the programs' own help and
+// tables, so that the pages cannot differ from the programs.
+package documenter
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cuminstream/cuminstream/internal/commander"
+	"github.com/cuminstream/cuminstream/internal/starter"
+	"github.com/cuminstream/cuminstream/pkg/answerer"
+)
+
+// Pages returns the content of each page by its file name.
+func Pages() (map[string]string, error) {
+	settings, err := settingsPage()
+	if err != nil {
+		return nil, err
+	}
+	return map[string]string{"settings.md": settings, "cli.md": cliPage(), "errors.md": errorsPage()}, nil
+}
+
+// Write writes all pages into the directory.
+func Write(directory string) error {
+	pages, err := Pages()
+	if err != nil {
+		return err
+	}
+	for name, content := range pages {
+		if err := os.WriteFile(filepath.Join(directory, name), []byte(content), 0o600); err != nil {
+			return fmt.Errorf("page %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func settingsPage() (string, error) {
+	help, err := starter.Help()
+	if err != nil {
+		return "", fmt.Errorf("help of cuminstreamd: %w", err)
+	}
+	return "# Settings of cuminstreamd\n\nMade by `make docs` from `cuminstreamd --help`. Durations have a unit, such as `250ms` or `2s`.\n\n```\n" +
+		strings.TrimSpace(help) + "\n```\n", nil
+}
+
+func cliPage() string {
+	var page strings.Builder
+	page.WriteString("# The cuminstream program\n\nMade by `make docs` from `cuminstream --help` and the help of each operation.\n\n")
+	block := func(title string, arguments ...string) {
+		var output bytes.Buffer
+		commander.Run(context.Background(), arguments, strings.NewReader(""), &output, &output)
+		fmt.Fprintf(&page, "## %s\n\n```\n%s\n```\n\n", title, strings.TrimSpace(output.String()))
+	}
+	block("Overview", "--help")
+	for _, name := range commander.Names() {
+		block("cuminstream "+name, name, "--help")
+	}
+	return strings.TrimSpace(page.String()) + "\n"
+}
+
+func errorsPage() string {
+	var page strings.Builder
+	page.WriteString(`# Answers that cuminstream itself gives
+
+Made by ` + "`make docs`" + ` from the closed list in pkg/answerer. Every answer has the header ` + "`" + answerer.HeaderResult + "`" + `: the kind, or ` + "`done`" + ` when the
+answer is an upstream's. ` + "`" + answerer.HeaderNotRun + ": true`" + ` stands on the kinds that say "not run", and only there: the request has provably not started at
+an upstream. ` + "`Retry-After`" + ` (whole seconds) and ` + "`Cuminstream-Retry-After`" + ` (milliseconds) say when a repeat may succeed, where that is known.
+The body is one line of text with the kind and the reason.
+
+| kind | status | not run | repeat may succeed | meaning |
+|---|---|---|---|---|
+`)
+	for _, kind := range answerer.Kinds() {
+		answer := kind.Answer()
+		fmt.Fprintf(&page, "| `%s` | %d | %s | %s | %s |\n", kind, answer.Status, yes(answer.NotRun), yes(answer.Repeat), answer.Meaning)
+	}
+	page.WriteString(`
+A repeat of a non-idempotent request keeps its ` + "`Cuminstream-Request-Id`" + `. The ID is remembered for 10 minutes. After ` + "`outcomeUnknown`" + ` a repeat
+with the same ID is answered ` + "`outcomeUnknown`" + ` or ` + "`duplicateDone`" + ` and never runs; to run the work anyway, a caller must decide so and use a new ID.
+`)
+	return page.String()
+}
+
+func yes(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
--- a/internal/standin/demonstrator/demonstrator.go
+++ b/internal/standin/demonstrator/demonstrator.go
@@ -94,6 +94,9 @@
 
 func (demo *demo) verdict() error {
 	fmt.Fprintf(demo.output, "\n%d quotes were sent during the failures; refused or lost: %v\n", demo.prober.sent, demo.prober.failed)
+	for _, sample := range demo.prober.samples {
+		fmt.Fprintln(demo.output, "for example:", sample)
+	}
 	faults := append(demo.faults, demo.prober.wrong...)
 	if len(faults) > 0 {
 		return errors.New("wrong answers:\n" + strings.Join(faults, "\n"))
--- a/internal/standin/demonstrator/prober.go
+++ b/internal/standin/demonstrator/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,10 +23,13 @@
 	gaps   map[string]time.Duration // longest since the last reset
 	sent   int
 	failed map[string]int // by result
-	wrong  []string
+	// samples are the texts of some refusals.
+	samples []string
+	wrong   []string
 }
 
 const (
+	maxSamples    = 5
 	probeInterval = 20 * time.Millisecond
 	probeTimeout  = "1500" // milliseconds
 )
@@ -73,6 +77,9 @@
 		prober.failed["connection lost"]++
 	case answer.status != http.StatusOK:
 		prober.failed[string(answer.result)]++
+		if len(prober.samples) < maxSamples {
+			prober.samples = append(prober.samples, strings.TrimSpace(string(answer.body)))
+		}
 	}
 }
 
--- a/internal/standin/measurer/deployment.go
+++ b/internal/standin/measurer/deployment.go
@@ -96,35 +96,18 @@
 	return system.fleet.StartUpstream(ctx, upstream)
 }
 
-// apply applies the section of the mixed service and waits until every VM is
-// ready and every group serves.
-func (system *system) apply(ctx context.Context) error {
-	section := map[string]any{
-		"team": "measure",
-		"services": []any{map[string]any{
-			"name": "mixed", "pathPrefix": "/mixed", "key": configurer.KeySource{PathSegment: 2}, "upstreams": system.declared,
-			"checksGrants": true, "rank": queuer.Lookup, "idempotent": true, "timeout": works[queuer.Lookup].timeout.String(),
-			"routes": []any{
-				map[string]any{"methods": []string{"POST"}, "rank": queuer.Transaction, "idempotent": false, "timeout": works[queuer.Transaction].timeout.String()},
-				map[string]any{"methods": []string{"PUT"}, "rank": queuer.Upload, "idempotent": true, "timeout": works[queuer.Upload].timeout.String()},
-			},
-		}},
-	}
+// applySection applies a section with the operators' program.
+func (system *system) applySection(ctx context.Context, name string, section map[string]any) error {
 	body, err := json.Marshal(section)
 	if err != nil {
-		return fmt.Errorf("section: %w", err)
+		return fmt.Errorf("section %s: %w", name, err)
 	}
-	command := exec.CommandContext(ctx, filepath.Join(system.fleet.Programs, "cuminstream"), "apply", "mixed", "-", "--platform", system.fleet.Platform)
+	command := exec.CommandContext(ctx, filepath.Join(system.fleet.Programs, "cuminstream"), "apply", name, "-", "--platform", system.fleet.Platform)
 	command.Stdin = bytes.NewReader(body)
 	if output, err := command.CombinedOutput(); err != nil {
-		return fmt.Errorf("apply: %w: %s", err, output)
-	}
-	for _, vm := range system.vms {
-		if err := launcher.WaitFor(ctx, "http://"+vm.Operator+"/readyz", http.StatusOK); err != nil {
-			return err
-		}
+		return fmt.Errorf("apply section %s: %w: %s", name, err, output)
 	}
-	return system.waitUntilServed(ctx)
+	return nil
 }
 
 // waitUntilServed sends lookups until a long run of them succeeds.
--- a/internal/standin/measurer/losses.go
+++ b/internal/standin/measurer/losses.go
@@ -217,7 +217,7 @@
 		return err
 	}
 	defer system.fleet.Close()
-	if err := system.apply(ctx); err != nil {
+	if err := system.applyMixed(ctx, true); err != nil {
 		return err
 	}
 	follower := &follower{balancer: system.balancer(), gaps: map[string]time.Duration{}, results: map[string]int{}, excluded: map[string]bool{}, using: map[string]*use{}}
--- a/internal/standin/measurer/measurer.go
+++ b/internal/standin/measurer/measurer.go
@@ -22,6 +22,8 @@
 	Policy     []string      `default:"cuminstream,naive" help:"Policies to compare."`
 	Losses     int           `default:"0" help:"Number of losses of each kind; with 0 the scenarios run instead."`
 	Loss       []string      `help:"Kinds of losses; all by default."`
+	Slope      []string      `help:"Measure the control costs of idle VMs at several sizes: vms, groups."`
+	Latency    bool          `help:"Measure the added latency of a request instead."`
 	Seed       uint64        `default:"1" help:"Seed of arrivals and keys."`
 	Limit      time.Duration `default:"10m" help:"Longest duration of the whole run."`
 }
@@ -83,6 +85,12 @@
 func (flags flags) run(ctx context.Context) error {
 	report := &report{output: os.Stdout}
 	deployment := deployments[flags.Deployment]
+	if flags.Latency {
+		return flags.measureLatency(ctx, report)
+	}
+	if len(flags.Slope) > 0 {
+		return flags.measureSlopes(ctx, report)
+	}
 	if flags.Losses > 0 {
 		return flags.measureLosses(ctx, report, deployment)
 	}
@@ -110,7 +118,7 @@
 	defer system.fleet.Close()
 	var target target = newNaive(system.upstreams, deployment.slots)
 	if policy != "naive" {
-		if err := system.apply(ctx); err != nil {
+		if err := system.applyMixed(ctx, true); err != nil {
 			return err
 		}
 		target = system.balancer()
--- a/internal/starter/starter.go
+++ b/internal/starter/starter.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -65,3 +67,18 @@
 	}
 	return nil
 }
+
+// Help returns the daemon's help text.
+func Help() (string, error) {
+	var (
+		settings Settings
+		output   strings.Builder
+	)
+	parser, err := kong.New(&settings, kong.Name("cuminstreamd"), kong.Description(description),
+		kong.Writers(&output, io.Discard), kong.Exit(func(int) {}))
+	if err != nil {
+		return "", err
+	}
+	_, _ = parser.Parse([]string{"--help"})
+	return output.String(), nil
+}
