Hand groups over to spread them, and on a planned stop of a VM

Change: every 10 s a VM that serves at least 2 groups more than another candidate of its zone hands one over; a VM with a planned stop hands all over and is not ready until the stop ends; entries of the platform's list without a link address are upstreams' VMs, and leaving ones are drained.

Ruled out: moving a holder for a difference of one group; the move could be followed by its reverse.

Conclusion: the spread needs a test with the fake clock.

--- a/internal/starter/members.go
+++ b/internal/starter/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,8 +50,10 @@
 
 	mutex    sync.Mutex
 	served   map[string]*member
+	leaving  []string // upstreams that the platform's list shows as leaving
 	running  errgroup.Group
 	stopping atomic.Bool
+	planned  atomic.Bool // the document plans a stop of this VM
 }
 
 // member is the dispatcher of one group on this VM.
@@ -93,7 +96,7 @@
 		Liveness: liveness{tracker: parts.Tracker, clock: parts.Clock, name: parts.Settings.Name, zone: parts.Settings.Zone},
 		Recorder: parts.Recorder, Specs: members.specs, Newest: members.newest, Member: members.begin,
 	}
-	parts.Pulse.held, parts.Pulse.records = members.held, members.records
+	parts.Pulse.held, parts.Pulse.records, parts.Pulse.upstreamsLeave = members.held, members.records, members.upstreamsLeave
 	parts.Store.Watches = parts.Pulse.watches
 	return members
 }
@@ -137,7 +140,9 @@
 		former.cancel()
 	}
 	members.served[spec.ID] = started
+	leaving := members.leaving
 	members.mutex.Unlock()
+	served.SetLeaving(leaving)
 	members.registry.Set(spec.ID, served)
 	members.running.Go(func() error { return served.Run(ctx) })
 	return served
@@ -167,10 +172,12 @@
 		}
 		return nil
 	})
+	group.Go(func() error { return members.spread(ctx) })
 	ticker := members.clock.NewTicker(memberPeriod)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		members.refresh()
+		members.checkStop(ctx)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C():
@@ -272,7 +279,7 @@
 // ready reports whether a document and the homes of all its services are known.
 func (members *members) ready() bool {
 	document := members.documents.Document()
-	if members.stopping.Load() || document.Revision == 0 {
+	if members.stopping.Load() || members.planned.Load() || document.Revision == 0 {
 		return false
 	}
 	for _, section := range document.Sections {
@@ -285,6 +292,56 @@
 	return true
 }
 
+// upstreamsLeave tells the dispatchers which upstreams the platform's list shows
+// as leaving.
+func (members *members) upstreamsLeave(names []string) {
+	members.mutex.Lock()
+	changed := !slices.Equal(members.leaving, names)
+	members.leaving = names
+	served := maps.Clone(members.served)
+	members.mutex.Unlock()
+	if !changed {
+		return
+	}
+	for _, member := range served {
+		member.dispatcher.SetLeaving(names)
+	}
+}
+
+// stops returns the VMs for which the document has a planned stop.
+func (members *members) stops() []string {
+	var names []string
+	for _, section := range members.documents.Document().Sections {
+		for _, stop := range section.Stops {
+			if stop.VM != "" {
+				names = append(names, stop.VM)
+			}
+		}
+	}
+	return names
+}
+
+// checkStop hands all groups over once the document plans a stop of this VM, and
+// takes part again once the stop is over. The process goes on and forwards
+// requests until it is told to end.
+func (members *members) checkStop(ctx context.Context) {
+	planned := slices.Contains(members.stops(), members.settings.Name)
+	if planned == members.planned.Swap(planned) {
+		return
+	}
+	members.pulse.leaving.Store(planned)
+	if !planned {
+		members.recorder.Record(timeliner.Event{Kind: "vmDrainCancelled"})
+		members.manager.Resume()
+		return
+	}
+	members.recorder.Record(timeliner.Event{Kind: "vmDraining"})
+	members.running.Go(func() error {
+		members.release(ctx)
+		return nil
+	})
+}
+
 // leave ends readiness, so that the balancer sends no new connections.
 func (members *members) leave() { members.stopping.Store(true) }
 
--- a/internal/starter/pulse.go
+++ b/internal/starter/pulse.go
@@ -44,16 +44,20 @@
 	recorder  *timeliner.Recorder
 	heartbeat *heartbeater.Heartbeater
 
-	// held, records and suspect are set before Run.
+	// The functions are set before Run.
 	held    func() map[string]uint64
 	records func() []replicator.Record
 	suspect func(vm string)
+	// upstreamsLeave is told which upstreams the platform's list shows as
+	// leaving.
+	upstreamsLeave func(names []string)
 
 	leaving atomic.Bool
 	listed  atomic.Bool // the platform's list was available at the last attempt
 
 	mutex  sync.Mutex
-	differ map[string]uint64 // VM -> digest that differed when it was last heard
+	differ map[string]uint64 // VM -> digest when it was last heard
+	counts map[string]int    // VM -> number of groups that it serves
 	pulls  chan struct{}
 }
 
@@ -66,7 +70,7 @@
 	}
 	pulse := &pulse{
 		settings: settings, tracker: tracked, exchange: exchange, locator: places, recorder: recorder,
-		differ: map[string]uint64{}, pulls: make(chan struct{}, 1),
+		differ: map[string]uint64{}, counts: map[string]int{}, pulls: make(chan struct{}, 1),
 	}
 	pulse.heartbeat = &heartbeater.Heartbeater{
 		Self: tracker.VM{
@@ -78,12 +82,33 @@
 		List: func(ctx context.Context) ([]platformer.VM, error) {
 			list, err := api.VMs(ctx)
 			pulse.listed.Store(err == nil)
-			return list, err
+			if err != nil {
+				return nil, err
+			}
+			return pulse.split(list), nil
 		},
 	}
 	return pulse, nil
 }
 
+// split returns the entry VMs of the platform's list, and tells the dispatchers
+// which VMs of upstreams leave. Those have no link address; their name is that
+// of the upstream.
+func (pulse *pulse) split(list []platformer.VM) []platformer.VM {
+	var entries []platformer.VM
+	leaving := []string{}
+	for _, vm := range list {
+		switch {
+		case vm.Address != "":
+			entries = append(entries, vm)
+		case vm.Leaving:
+			leaving = append(leaving, vm.Name)
+		}
+	}
+	pulse.upstreamsLeave(leaving)
+	return entries
+}
+
 func (pulse *pulse) register(registrar linker.Registrar) { pulse.heartbeat.Register(registrar) }
 
 // leave tells the other VMs that this one is about to stop.
@@ -147,6 +172,7 @@
 	}
 	pulse.mutex.Lock()
 	pulse.differ[from] = received.Digest
+	pulse.counts[from] = len(received.Held)
 	pulse.mutex.Unlock()
 	select {
 	case pulse.pulls <- struct{}{}:
@@ -154,6 +180,14 @@
 	}
 }
 
+// count returns the number of groups that the VM last reported to serve.
+func (pulse *pulse) count(vm string) (int, bool) {
+	pulse.mutex.Lock()
+	defer pulse.mutex.Unlock()
+	count, ok := pulse.counts[vm]
+	return count, ok
+}
+
 // behind returns a VM whose objects differ from this VM's, and forgets the VMs
 // that have the same.
 func (pulse *pulse) behind() (string, bool) {
--- /dev/null
+++ b/internal/starter/spread.go
@@ -0,0 +1,62 @@
+package starter
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cuminstream/cuminstream/internal/replicator"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+const (
+	// spreadPeriod is the time between two looks at the spread of the groups
+	// over the VMs. A group moves at most once in a period, and only in calm.
+	spreadPeriod = 10 * time.Second
+	// spreadExcess is by how many groups a VM must exceed another candidate
+	// before it hands one over, so that a move cannot be followed by its reverse.
+	spreadExcess = 2
+	// spreadTimeout bounds one hand-over.
+	spreadTimeout = 2 * time.Second
+)
+
+// spread hands a group over, from time to time, when this VM serves more groups
+// than another candidate. After a loss, or when groups were formed before all
+// VMs were known, a few VMs would otherwise serve everything.
+func (members *members) spread(ctx context.Context) error {
+	for clocker.Sleep(ctx, members.clock, spreadPeriod) == nil {
+		if group, successor, ok := members.excess(); ok {
+			releasing, cancel := clocker.WithTimeout(ctx, members.clock, spreadTimeout)
+			if err := group.Release(releasing, successor); err != nil {
+				slog.Warn("a group was not handed over", "group", group.ID, "successor", successor, "error", err)
+			}
+			cancel()
+		}
+	}
+	return nil
+}
+
+// excess returns a group that this VM should hand over, and to whom.
+func (members *members) excess() (*replicator.Group, string, bool) {
+	held := members.held()
+	for id := range held {
+		group, ok := members.manager.Group(id)
+		if !ok || !group.Settled() {
+			continue
+		}
+		for _, candidate := range group.Newest().Candidates {
+			count, known := members.pulse.count(candidate)
+			if known && count+spreadExcess <= len(held) && members.eligible(candidate) {
+				return group, candidate, true
+			}
+		}
+	}
+	return nil, "", false
+}
+
+// eligible reports whether the VM may serve groups of this VM's zone.
+func (members *members) eligible(vm string) bool {
+	member, ok := members.tracker.Snapshot().Member(vm)
+	return ok && member.Zone == members.settings.Zone && directory{members.tracker}.Alive(vm) && !slices.Contains(members.stops(), vm)
+}
