Pass on fewer changes between VMs

Cause: at the start of a fleet each VM passed on each other VM's start, which every VM also reads from the platform's list.

Change: only restarts, announced stops and VMs that the list lacks are passed on, at half the rate, and in both directions of an exchange. The tracker tells whether the list holds a VM.

Ruled out: passing changes on in calls only.

--- a/internal/heartbeater/exchange.go
+++ b/internal/heartbeater/exchange.go
@@ -23,11 +23,16 @@
 	if heartbeater.Caller.Call(ctx, name, methodHeartbeat, message, &answer) != nil {
 		return
 	}
+	heartbeater.advance(name, cursor)
+	heartbeater.merge(name, answer)
+}
+
+// advance notes that the peer has been told the changes before the cursor.
+func (heartbeater *Heartbeater) advance(name string, cursor uint64) {
 	heartbeater.mutex.Lock()
+	defer heartbeater.mutex.Unlock()
 	known := heartbeater.peer(name)
 	known.cursor = max(known.cursor, cursor)
-	heartbeater.mutex.Unlock()
-	heartbeater.merge(name, answer)
 }
 
 // answer handles the call of another VM.
@@ -43,7 +48,12 @@
 	heartbeater.peer(from).called = heartbeater.Clock.Now()
 	heartbeater.mutex.Unlock()
 	heartbeater.merge(from, message)
-	return heartbeater.compose(from), nil
+	answer := heartbeater.compose(from)
+	cursor := heartbeater.addEntries(from, answer)
+	// An answer is not confirmed. A change that is lost with it reaches the peer
+	// through its other neighbours.
+	heartbeater.advance(from, cursor)
+	return answer, nil
 }
 
 // peer returns the state of the VM. The mutex is held.
--- a/internal/heartbeater/list.go
+++ b/internal/heartbeater/list.go
@@ -127,7 +127,7 @@
 	if len(answer.Entries) > 0 {
 		next = answer.Entries[len(answer.Entries)-1].Name
 	}
-	heartbeater.tell(from, func() { heartbeater.toldBy(answer.Entries) })
+	heartbeater.tell("", func() { heartbeater.toldBy(answer.Entries) })
 	heartbeater.mutex.Lock()
 	defer heartbeater.mutex.Unlock()
 	heartbeater.synced = next
--- a/internal/heartbeater/neighbors.go
+++ b/internal/heartbeater/neighbors.go
@@ -45,7 +45,7 @@
 func ring(members iter.Seq[tracker.Member], self string) []ringMember {
 	var placed []ringMember
 	for member := range members {
-		if member.State != tracker.Gone && member.Address != "" {
+		if member.State != tracker.Gone && member.Address != "" && member.Name != self {
 			placed = append(placed, ringMember{position(member.Name), member.Name})
 		}
 	}
--- a/internal/heartbeater/rumors.go
+++ b/internal/heartbeater/rumors.go
@@ -12,13 +12,13 @@
 	// rumorsPerMessage bounds the entries of a heartbeat.
 	rumorsPerMessage = 4
 	// rumorRate bounds the entries that a VM sends in a second. At about 70
-	// bytes each, they add at most 1.1 KB/s while many VMs change at once.
-	rumorRate = 16
+	// bytes each, sent and received ones add at most about 1.1 KB/s while many
+	// VMs change at once.
+	rumorRate = 8
 )
 
-// rumors is the log of changes that are passed on once to each neighbour that
-// the local VM calls. That suffices: the calls lead around the ring of each zone
-// and from each zone to each other. The mutex of the Heartbeater guards it.
+// rumors is the log of changes that are passed on once to each neighbour. The
+// mutex of the Heartbeater guards it.
 type rumors struct {
 	log    []rumor
 	first  uint64 // number of log[0]
@@ -26,8 +26,7 @@
 	filled time.Time
 }
 
-// rumor is a change of a VM, learned from a peer or, when from is empty, from
-// the VM itself or the platform's list.
+// rumor is a change of a VM, learned from the VM itself or another one.
 type rumor struct {
 	name string
 	from string
@@ -60,18 +59,21 @@
 	return names, cursor
 }
 
-// listen notes the changes that other VMs should hear of: a VM that is new, has
-// restarted or has begun to leave.
+// listen notes the changes that other VMs should hear of: a VM that has
+// restarted, has begun to leave, or is not in the platform's list yet. What
+// another VM has passed on is passed on as well. What a page or the list tells
+// is not, since all VMs read those.
 func (heartbeater *Heartbeater) listen(change tracker.Change) {
 	before, after := change.Before, change.After
-	if before.Name != "" && before.Incarnation == after.Incarnation && before.Leaving == after.Leaving {
-		return
-	}
-	// VMs without an incarnation are known from the list, which all VMs read.
-	if after.State == tracker.Gone || after.Incarnation == 0 {
+	if before.Incarnation == after.Incarnation && before.Leaving == after.Leaving {
 		return
 	}
 	heartbeater.mutex.Lock()
 	defer heartbeater.mutex.Unlock()
-	heartbeater.rumors.add(rumor{name: after.Name, from: heartbeater.source})
+	source := heartbeater.source
+	heard := source == after.Name
+	if source == "" || (heard && after.Listed && !after.Leaving && !change.Restarted()) {
+		return
+	}
+	heartbeater.rumors.add(rumor{name: after.Name, from: source})
 }
--- a/pkg/tracker/conclude.go
+++ b/pkg/tracker/conclude.go
@@ -51,6 +51,7 @@
 	after := before
 	after.VM = known.describe()
 	after.AbsentSince = known.absentSince
+	after.Listed = known.listed.Name != "" && known.absentSince.IsZero()
 	after.State = tracker.state(known, after, now)
 	if after.State != before.State || after.Incarnation != before.Incarnation || before.Name == "" {
 		after.Since = now
--- a/pkg/tracker/example_test.go
+++ b/pkg/tracker/example_test.go
@@ -21,7 +21,9 @@
 	clock := clocker.NewFake(time.Unix(0, 0))
 	members := newTracker(clock)
 	members.Listen(func(change tracker.Change) {
-		fmt.Println(change.After.Name, "is", change.After.State)
+		if change.Before.Name == "" || change.Before.State != change.After.State {
+			fmt.Println(change.After.Name, "is", change.After.State)
+		}
 	})
 	vm := tracker.VM{Name: "vm1", Zone: "z1", Address: "10.0.0.1:7000", Incarnation: 1}
 	members.Heard(vm)
@@ -38,7 +40,6 @@
 	// Output:
 	// vm1 is alive
 	// vm1 is suspected
-	// vm1 is suspected
 	// vm1 is gone
 }
 
--- a/pkg/tracker/member.go
+++ b/pkg/tracker/member.go
@@ -83,6 +83,8 @@
 	State State
 	// Since is when the VM entered the state.
 	Since time.Time
+	// Listed is set while the newest list of the platform holds the VM.
+	Listed bool
 	// AbsentSince is when the platform's list first lacked the VM; zero while
 	// the list holds it or no list has been received.
 	AbsentSince time.Time
