Hold uploads to their share while they are refused, and pay shares by credit

Cause: with strict priority, minimum shares of a decayed window and one slot withheld, an upload flood always kept one of 2 slots, or two of 3. The window also let a run of 2 s take a rank far above its share, and admission judged the wait by averages that ignored uploads in flight.

Change: a rank's minimum share is a credit of slot time; a rank that is owed slot time goes first once its first item has waited a tenth of its target. While urgent ranks use more than 2% of the slots left to them, uploads take no more slots at a time than their share amounts to, and at least one; while they are refused, and for 6 s after, they receive their share only. The expected wait is the shorter of the wait through the share and the wait behind urgent ranks, without the slots that long runs hold. Retry times are at most 3 s.

The price is upload throughput in a flood, which minimumShare sets.

--- a/pkg/queuer/line.go
+++ b/pkg/queuer/line.go
@@ -1,6 +1,9 @@
 package queuer
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // notInHeap is the index of a node without a deadline.
 const notInHeap = -1
@@ -9,6 +12,7 @@
 // has a deadline, into the heap of deadlines.
 type node[T any] struct {
 	item       Item[T]
+	arrived    time.Time
 	prev, next *node[T]
 	index      int
 }
--- a/pkg/queuer/queue.go
+++ b/pkg/queuer/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/cuminstream/cuminstream/pkg/clocker"
@@ -33,10 +32,15 @@
 
 // The reasons of a refusal.
 const (
-	DeadlinePassed   Reason = "deadlinePassed"
+	// DeadlinePassed means that the deadline had passed before the offer.
+	DeadlinePassed Reason = "deadlinePassed"
+	// WaitOverDeadline means that the item would not end before its deadline.
 	WaitOverDeadline Reason = "waitOverDeadline"
-	WaitOverTarget   Reason = "waitOverTarget"
-	QueueFull        Reason = "queueFull"
+	// WaitOverTarget means that the item would wait longer than its rank's
+	// target.
+	WaitOverTarget Reason = "waitOverTarget"
+	// QueueFull means that the rank's line has reached its largest length.
+	QueueFull Reason = "queueFull"
 )
 
 // Refusal is the error of an item that was not admitted.
@@ -55,22 +59,25 @@
 // Queue holds the waiting items of one upstream and counts its slots. It is not
 // safe for concurrent use.
 type Queue[T any] struct {
-	clock    clocker.Clock
-	policies [RankCount]Policy
-	slots    int
-	lines    [RankCount]line[T]
-	due      deadlines[T]
-	expired  []T
-	inFlight [RankCount]int
-	usage    usage
-	service  [RankCount]estimate
+	clock     clocker.Clock
+	policies  [RankCount]Policy
+	slots     int
+	lines     [RankCount]line[T]
+	deadlines deadlines[T]
+	expired   []T
+	inFlight  [RankCount]int
+	service   [RankCount]estimate
+	shares    shares
+	rules     rules
+	crowded   time.Time // when an upload was last refused
 }
 
 // New returns an empty queue for an upstream with the given number of slots.
 func New[T any](clock clocker.Clock, policies [RankCount]Policy, slots int) *Queue[T] {
-	queue := &Queue[T]{clock: clock, policies: policies, slots: max(slots, 0)}
-	queue.usage.last = clock.Now()
-	return queue
+	return &Queue[T]{
+		clock: clock, policies: policies, slots: max(slots, 0),
+		shares: shares{last: clock.Now()}, rules: defaultRules,
+	}
 }
 
 // Offer queues the item, or returns a *Refusal.
@@ -79,15 +86,17 @@
 		return fmt.Errorf("rank %d does not exist", int(item.Rank))
 	}
 	now := queue.tick()
+	queue.expire(now)
 	if !item.Deadline.IsZero() && !item.Deadline.After(now) {
 		return &Refusal{Rank: item.Rank, Reason: DeadlinePassed}
 	}
 	if refusal := queue.admit(item, now); refusal != nil {
+		if item.Rank == Upload {
+			queue.crowded = now
+		}
 		return refusal
 	}
-	added := &node[T]{item: item, index: notInHeap}
-	queue.lines[item.Rank].push(added)
-	queue.due.add(added)
+	queue.push(item, now)
 	return nil
 }
 
@@ -95,14 +104,14 @@
 // false when no slot may be used now. Items whose deadline has passed are never
 // returned; Expired lists them.
 func (queue *Queue[T]) Next() (Item[T], bool) {
-	queue.expire(queue.tick())
-	rank, ok := queue.choose()
+	now := queue.tick()
+	queue.expire(now)
+	rank, ok := queue.choose(now)
 	if !ok {
 		return Item[T]{}, false
 	}
 	first := queue.lines[rank].first
-	queue.drop(first)
-	queue.inFlight[rank]++
+	queue.take(first)
 	return first.item, true
 }
 
@@ -167,87 +176,26 @@
 	queue.slots = max(slots, 0)
 }
 
-// tick brings the slot time up to date and returns the current time.
-func (queue *Queue[T]) tick() time.Time {
-	now := queue.clock.Now()
-	queue.usage.advance(now, queue.inFlight)
-	return now
-}
-
 func (queue *Queue[T]) expire(now time.Time) {
-	for len(queue.due) > 0 && !queue.due[0].item.Deadline.After(now) {
-		late := queue.due[0]
+	for len(queue.deadlines) > 0 && !queue.deadlines[0].item.Deadline.After(now) {
+		late := queue.deadlines[0]
 		queue.drop(late)
 		queue.expired = append(queue.expired, late.item.Value)
 	}
 }
 
-func (queue *Queue[T]) drop(dropped *node[T]) {
-	queue.lines[dropped.item.Rank].remove(dropped)
-	queue.due.remove(dropped)
-}
-
-// choose returns the rank whose first item runs next. A rank below its minimum
-// share goes first, the one that lacks the largest part of it before others;
-// then the most urgent rank.
-func (queue *Queue[T]) choose() (Rank, bool) {
-	best, lack, found := Rank(0), 0.0, false
-	for rank := Rank(0); rank < RankCount; rank++ {
-		if queue.lines[rank].length == 0 || !queue.mayStart(rank) {
-			continue
-		}
-		missing := queue.missing(rank)
-		if !found || missing > lack {
-			best, lack, found = rank, missing, true
-		}
-	}
-	return best, found
-}
-
-// missing returns the part of the rank's minimum share that it lacks, from 0
-// to 1.
-func (queue *Queue[T]) missing(rank Rank) float64 {
-	share := queue.policies[rank].MinimumShare
-	if share <= 0 || queue.slots == 0 {
-		return 0
-	}
-	return max(0, 1-queue.usage.share(rank)/float64(queue.slots)/share)
-}
-
-// mayStart reports whether a slot is free for the rank. Where there are two or
-// more slots, one is withheld from uploads: an upload that has begun is not
-// stopped, so that uploads in all slots would delay lookups by seconds.
-func (queue *Queue[T]) mayStart(rank Rank) bool {
-	taken := 0
-	for _, count := range queue.inFlight {
-		taken += count
-	}
-	if taken >= queue.slots {
-		return false
-	}
-	return rank != Upload || queue.slots < 2 || queue.inFlight[Upload] < queue.slots-1
+func (queue *Queue[T]) push(item Item[T], now time.Time) {
+	added := &node[T]{item: item, arrived: now, index: notInHeap}
+	queue.lines[item.Rank].push(added)
+	queue.deadlines.add(added)
 }
 
-// usageWindow is the time constant of the decayed slot time that minimum shares
-// are compared with.
-const usageWindow = 10 * time.Second
-
-// usage is the decayed number of slots that each rank has taken.
-type usage struct {
-	last  time.Time
-	taken [RankCount]float64
+func (queue *Queue[T]) take(taken *node[T]) {
+	queue.drop(taken)
+	queue.inFlight[taken.item.Rank]++
 }
 
-func (usage *usage) advance(now time.Time, inFlight [RankCount]int) {
-	elapsed := now.Sub(usage.last)
-	if elapsed <= 0 {
-		return
-	}
-	usage.last = now
-	keep := math.Exp(-elapsed.Seconds() / usageWindow.Seconds())
-	for rank := range usage.taken {
-		usage.taken[rank] = usage.taken[rank]*keep + float64(inFlight[rank])*(1-keep)
-	}
+func (queue *Queue[T]) drop(dropped *node[T]) {
+	queue.lines[dropped.item.Rank].remove(dropped)
+	queue.deadlines.remove(dropped)
 }
-
-func (usage *usage) share(rank Rank) float64 { return usage.taken[rank] }
