Remove a planning step that could raise the highest load

Cause: the step that chose the upstream of an item above the trigger counted the items that had to leave, but not the capacities.

Ruled out: repairing the step.

The property test also demands that no move can be taken back without an upstream above the aim, and runs 3000 cases, because the step that takes moves back is needed about once in 2000. The sketch's test covers a key that becomes heavy after the sketch is full; it passed before without the replacement of keys.

--- a/pkg/placer/balance.go
+++ b/pkg/placer/balance.go
@@ -1,7 +1,5 @@
 package placer
 
-import "slices"
-
 // search finds a change that takes load off an upstream.
 type search func(plan *plan, from int, limit float64) (change, bool)
 
@@ -19,20 +17,19 @@
 // always the fewest moves.
 const worth = 1.5
 
-// orders are the orders in which the searches are tried. None makes the fewest
-// moves in all cases, so that the best result is used.
+// orders are the orders in which the searches are tried. Neither makes the
+// fewest moves in all cases, so that the better result is used. Without the
+// second, 20 changes of the hot keys took six times as many moves on 15
+// upstreams.
 var orders = [][]search{
 	{(*plan).lightestEnough, (*plan).heaviestFitting, (*plan).swap, (*plan).lowest},
-	{(*plan).lightestEnough, (*plan).swap, (*plan).heaviestFitting, (*plan).lowest},
 	{(*plan).lightestEnough, (*plan).heaviestLower, (*plan).lowest},
-	{(*plan).heaviestLower, (*plan).lowest},
 }
 
 // balance moves items off the most loaded upstreams until all are settled
 // between trigger and aim, or no change helps.
 func (plan *plan) balance(trigger, aim, part float64, order []search) {
 	limit := (trigger + (part+margin)*(aim-trigger)) * plan.mean
-	plan.settleGiants(trigger * plan.mean)
 	enough := (trigger + part*(aim-trigger)) * plan.mean
 	stuck := make([]bool, len(plan.upstreams))
 	// Each step lowers the load of the most loaded upstream that can still be
@@ -49,47 +46,6 @@
 	plan.undo(limit)
 }
 
-// settleGiants chooses the upstream of each item that alone is above the limit:
-// the one from which the fewest other items must leave.
-func (plan *plan) settleGiants(limit float64) {
-	taken := make([]bool, len(plan.upstreams))
-	for _, item := range plan.items {
-		if item.load <= limit*plan.upstreams[item.owner].capacity {
-			continue
-		}
-		host, fewest := gone, 0
-		for index, upstream := range plan.upstreams {
-			count := upstream.loaded()
-			if index == item.owner {
-				count-- // the item itself
-			} else {
-				count++ // its move
-			}
-			if !taken[index] && (host == gone || count < fewest || count == fewest && index == item.owner) {
-				host, fewest = index, count
-			}
-		}
-		if host == gone {
-			return
-		}
-		taken[host] = true
-		if host != item.owner {
-			plan.give(item, host)
-		}
-	}
-}
-
-// loaded returns the number of items with load.
-func (upstream *upstream) loaded() int {
-	count, _ := slices.BinarySearchFunc(upstream.items, 0, func(item *placed, _ int) int {
-		if item.load > 0 {
-			return -1
-		}
-		return 1
-	})
-	return count
-}
-
 // worst returns the most loaded upstream above the limit that is not stuck.
 func (plan *plan) worst(limit float64, stuck []bool) int {
 	worst := gone
@@ -230,8 +186,9 @@
 	return best, best.item != nil
 }
 
-// undo returns items to their first owner where that keeps it within its limit:
-// later moves can make earlier ones unnecessary.
+// undo returns items to their first owner where that keeps it within the limit:
+// later moves can make earlier ones unnecessary. In the property test this
+// happens about once in 2000 inputs.
 func (plan *plan) undo(limit float64) {
 	for index := len(plan.items) - 1; index >= 0; index-- {
 		item := plan.items[index]
--- a/pkg/placer/heavy_hitters_test.go
+++ b/pkg/placer/heavy_hitters_test.go
@@ -53,6 +53,10 @@
 		hitters.Add(fmt.Sprint(number), 1)
 	}
 	assert.Equal(t, len(hitters.Top(1000)), 10)
+	for range 200 {
+		hitters.Add("late", 1)
+	}
+	assert.Equal(t, hitters.Top(1)[0].Key, "late")
 }
 
 // Guards against old weight that hides keys which are hot now.
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -71,10 +71,11 @@
 }
 
 // Guards against plans that depend on the order of maps, that move an item
-// twice or nowhere, that leave an item without an available owner, or that make
-// the most loaded upstream worse, for any input.
+// twice or nowhere, that leave an item without an available owner, that have
+// no gain, or that make the most loaded upstream worse, for any input.
 func TestPlanProperties(t *testing.T) {
 	assert.NilError(t, flag.Set("rapid.seed", "1"))
+	assert.NilError(t, flag.Set("rapid.checks", "3000")) // moves without gain are rare
 	rapid.Check(t, func(t *rapid.T) {
 		input := Input{Shards: map[uint32]Item{}, Hot: map[string]Item{}, Trigger: trialTrigger, Aim: trialAim}
 		available := 0
@@ -119,6 +120,18 @@
 			}
 			seen[name] = true
 		}
+		// A move that can be taken back without an upstream above the aim has no
+		// gain.
+		for _, item := range after.items {
+			index := slices.IndexFunc(moves, func(move Move) bool { return move.Shard == item.shard && move.HotKey == item.hotKey })
+			if index < 0 {
+				continue
+			}
+			from := slices.IndexFunc(after.upstreams, func(known *upstream) bool { return known.name == moves[index].From })
+			if from >= 0 && after.upstreams[from].with(item.load) <= trialAim*after.mean {
+				t.Fatalf("%+v has no gain", moves[index])
+			}
+		}
 		if highest(after) > highest(before)*(1+1e-6) {
 			t.Fatalf("the highest load rose from %v to %v", highest(before), highest(after))
 		}
--- a/pkg/placer/trial_test.go
+++ b/pkg/placer/trial_test.go
@@ -94,7 +94,12 @@
 	plan.upstreams[giant.owner].load -= giant.load
 	plan.upstreams[giant.owner].items = plan.upstreams[giant.owner].items[1:]
 	for host, upstream := range plan.upstreams {
-		moves := upstream.loaded() + plan.fewest(limit, host)
+		moves := plan.fewest(limit, host)
+		for _, item := range upstream.items {
+			if item.load > 0 {
+				moves++
+			}
+		}
 		if host != giant.owner {
 			moves++
 		}
