Fix three faults of upstreams that are removed and added again

The random run now also removes upstreams from the document, and lets a failed copy be stored by some candidates.

- A new grant began again at seq 1 within the term, and the upstream refused it as fenced for ever.
All upstreams of a tenure now share one counter.
- The answer to a renewal of the removed upstream was applied after the new one had taken its place, so that a key stayed blocked.
Such answers are ignored.
- A request that was handed over at an upstream which the document does not list any more did not keep its key.
Its key now stays until the request ends or its deadline passes.

Remembering the seq per upstream name was ruled out, because the memory of names would grow with each change. An unplanned takeover at the same time as the removal of an upstream stays a stated limit: the next holder does not ask it.

--- a/internal/dispatcher/aggregates_test.go
+++ b/internal/dispatcher/aggregates_test.go
@@ -97,8 +97,9 @@
 	known.health = up
 	known.stamp = stamp{value: 5, sent: fake.Now(), received: fake.Now().Add(10 * time.Millisecond)}
 	fake.Advance(400 * time.Millisecond)
+	var seq uint64
 	content := &granting{full: Grant{Shards: []uint32{1}}, covered: content{place{shard: 1}: true}}
-	renewal := known.renew(content, fake.Now())
+	renewal := known.renew(content, &seq, fake.Now())
 	renewal.checks = true
 	known.confirm(renewal)
 	fake.Advance(399 * time.Millisecond)
@@ -106,7 +107,7 @@
 	fake.Advance(time.Millisecond)
 	assert.Assert(t, !known.servable(fake.Now()))
 	assert.Equal(t, known.possibleUntil, known.stamp.received.Add(grantTTL))
-	next := known.renew(content, fake.Now())
+	next := known.renew(content, &seq, fake.Now())
 	assert.Assert(t, next.grant.Renew)
 	assert.Equal(t, next.grant.Seq, renewal.grant.Seq)
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -56,6 +56,8 @@
 	leaving   map[string]bool               // from the platform's list
 	upstreams map[string]*upstream
 	ownership *ownership
+	// strays are requests of a former holder at upstreams that have been removed.
+	strays    map[string]inheritance
 	parked    map[*ticket]struct{}
 	budget    *budget
 	loads     *loads
@@ -75,7 +77,10 @@
 	began      time.Time
 	fenced     bool   // no upstream can act on a grant of a former term
 	proposed   uint64 // highest assignment version that was ever copied
-	planned    time.Time
+	// seq of the newest grant. All upstreams share it, so that it also rises
+	// for one that is removed and added again.
+	seq     uint64
+	planned time.Time
 	// unsaved are losses that no majority has stored yet.
 	unsaved  []suspecter.Entry
 	decide   chan struct{}
@@ -154,6 +159,10 @@
 			dispatcher.ownership.end(inherited.key)
 		}
 	}
+	for _, stray := range dispatcher.strays {
+		dispatcher.ownership.end(stray.key)
+	}
+	dispatcher.strays = map[string]inheritance{}
 	for _, left := range state.InFlight {
 		dispatcher.inherit(left, now)
 	}
@@ -169,7 +178,14 @@
 // finishes. A request of this process is known already.
 func (dispatcher *Dispatcher) inherit(left replicator.InFlight, now time.Time) {
 	upstream := dispatcher.upstreams[left.Upstream]
-	if upstream == nil || left.Left <= 0 {
+	if left.Left <= 0 {
+		return
+	}
+	if upstream == nil {
+		if !dispatcher.ownership.runsElsewhere(left.Key, left.Upstream) {
+			dispatcher.strays[left.ID] = inheritance{key: left.Key, deadline: now.Add(left.Left)}
+			dispatcher.ownership.start(left.Key, left.Upstream)
+		}
 		return
 	}
 	if _, known := upstream.inherited[left.ID]; known {
@@ -197,6 +213,16 @@
 			dispatcher.disinherit(upstream, id)
 		}
 	}
+	for _, id := range ids {
+		dispatcher.settleStray(id)
+	}
+}
+
+func (dispatcher *Dispatcher) settleStray(id string) {
+	if stray, ok := dispatcher.strays[id]; ok {
+		delete(dispatcher.strays, id)
+		dispatcher.keyEnded(stray.key)
+	}
 }
 
 // Settle takes over from the former holder how the requests have ended that it
--- a/internal/dispatcher/random_test.go
+++ b/internal/dispatcher/random_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/cuminstream/cuminstream/internal/configurer"
 	"github.com/cuminstream/cuminstream/internal/replicator"
 	standin "github.com/cuminstream/cuminstream/internal/standin/upstreamer"
 	"github.com/cuminstream/cuminstream/pkg/answerer"
@@ -30,7 +31,7 @@
 
 var actions = []string{
 	"send", "send", "send", "send", "send", "send", "send", "burst", "cut", "crash", "freeze", "thaw", "kill", "drain",
-	"stay", "copyFails", "leaseExpires", "handOver", "takeOver",
+	"stay", "remove", "addBack", "copyFails", "leaseExpires", "handOver", "takeOver",
 }
 
 func drawStep(t *rapid.T) step {
@@ -57,7 +58,7 @@
 	copies    []replicator.Entries
 	former    []func()
 	frozen    map[string]bool
-	froze     map[string]bool // at any time
+	silent    map[string]bool // frozen or removed at any time
 }
 
 // Guards against a key with two owners, a non-idempotent request that runs
@@ -80,7 +81,7 @@
 func randomRun(t *testing.T, checks bool, steps []step) error {
 	world := &world{
 		bench: newBench(t, checks, three), outcomes: map[string][]outcome{}, term: 1,
-		unplanned: map[uint64]bool{}, frozen: map[string]bool{}, froze: map[string]bool{},
+		unplanned: map[uint64]bool{}, frozen: map[string]bool{}, silent: map[string]bool{},
 	}
 	world.lease.onCopy = world.keep
 	world.begin(world.lease, replicator.State{})
@@ -116,7 +117,7 @@
 		}
 	case "freeze", "thaw":
 		world.frozen[step.upstream] = step.action == "freeze"
-		world.froze[step.upstream] = world.froze[step.upstream] || world.frozen[step.upstream]
+		world.silent[step.upstream] = world.silent[step.upstream] || world.frozen[step.upstream]
 		world.freeze(step.upstream, step.action == "freeze")
 	case "kill":
 		if !world.frozen[step.upstream] {
@@ -129,9 +130,20 @@
 	case "stay":
 		world.dispatcher.SetLeaving(nil)
 	case "copyFails":
-		world.lease.set(func() { world.lease.onCopy = func(replicator.Entries) error { return errors.New("no majority") } })
+		stored := step.repeat%2 == 0 // by some candidates, without an answer
+		world.lease.set(func() {
+			world.lease.onCopy = func(entries replicator.Entries) error {
+				if stored {
+					_ = world.keep(entries)
+				}
+				return errors.New("no majority")
+			}
+		})
 		world.sleep(step.service)
 		world.lease.set(func() { world.lease.onCopy = world.keep })
+	case "remove", "addBack":
+		world.silent[step.upstream] = true
+		world.configure(map[string]bool{step.upstream: step.action == "remove"})
 	case "leaseExpires":
 		world.lease.set(func() { world.lease.expired = true })
 		world.sleep(step.service)
@@ -141,6 +153,18 @@
 	}
 }
 
+// configure removes upstreams from the document.
+func (world *world) configure(removed map[string]bool) {
+	world.service.Upstreams = nil
+	for _, name := range three {
+		if !removed[name] {
+			world.service.Upstreams = append(world.service.Upstreams,
+				configurer.Upstream{Name: name, Zone: "a", Address: name + ":80", Slots: 2, Connections: 10})
+		}
+	}
+	world.update()
+}
+
 // call sends a request without waiting for its answer.
 func (world *world) call(step step) {
 	number := world.sent - step.repeat
@@ -208,6 +232,7 @@
 		}
 	}
 	world.dispatcher.SetLeaving(nil)
+	world.configure(nil)
 	world.callers.Wait()
 	world.sleep(3 * time.Second)
 }
@@ -291,14 +316,14 @@
 }
 
 // takenOver reports whether a holder was lost between the terms while the
-// upstream of the earlier term was frozen: it could not tell the next holder
-// what it runs. An upstream that does not check grants may also start such work
+// upstream of the earlier term was frozen or removed from the document: it did
+// not tell the next holder what it runs. An upstream that does not check grants may also start such work
 // after work of the next holder.
 func (world *world) takenOver(upstream, other string, from, to uint64) bool {
 	if from > to && !world.service.ChecksGrants {
 		upstream, from, to = other, to, from
 	}
-	if !world.froze[upstream] {
+	if !world.silent[upstream] {
 		return false
 	}
 	for term := from + 1; term <= to; term++ {
--- a/internal/dispatcher/renewals.go
+++ b/internal/dispatcher/renewals.go
@@ -74,7 +74,7 @@
 	if dispatcher.tenure != tenure || dispatcher.upstreams[known.spec.Name] != known {
 		return nil
 	}
-	renewal := known.renew(dispatcher.grantTo(known), dispatcher.Clock.Now())
+	renewal := known.renew(dispatcher.grantTo(known), &tenure.seq, dispatcher.Clock.Now())
 	renewal.grant.Group, renewal.grant.Term = dispatcher.Group, tenure.term
 	renewal.spec, renewal.checks = known.spec, dispatcher.service.ChecksGrants
 	return renewal
@@ -102,8 +102,8 @@
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	var refused *Refused
-	if dispatcher.tenure != tenure {
-		return
+	if dispatcher.tenure != tenure || dispatcher.upstreams[known.spec.Name] != known {
+		return // given up, or removed meanwhile
 	}
 	if err != nil && !errors.As(err, &refused) {
 		known.absent = known.absent || errors.Is(err, syscall.ECONNREFUSED)
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -198,11 +198,12 @@
 }
 
 // renew returns the next grant to send. Its content is left out when the
-// upstream has confirmed the same content.
-func (upstream *upstream) renew(granting *granting, now time.Time) *renewal {
+// upstream has confirmed the same content. seq is the highest one of the term.
+func (upstream *upstream) renew(granting *granting, seq *uint64, now time.Time) *renewal {
 	full := granting.full
 	if upstream.seq == 0 || upstream.sent != granting && !sameGrant(upstream.sent.full, full) {
-		upstream.seq++
+		*seq++
+		upstream.seq = *seq
 		upstream.confirmed = intersection(upstream.confirmed, granting.covered)
 	}
 	upstream.sent = granting
--- a/internal/dispatcher/watch.go
+++ b/internal/dispatcher/watch.go
@@ -49,6 +49,11 @@
 		}
 		dispatcher.checkUpstream(upstream, now)
 	}
+	for id, stray := range dispatcher.strays {
+		if !now.Before(stray.deadline) {
+			dispatcher.settleStray(id)
+		}
+	}
 	dispatcher.checkFence(tenure, now)
 	if now.Sub(tenure.planned) >= planPeriod {
 		tenure.wake()
@@ -195,7 +200,7 @@
 		upstream.drained = true
 		dispatcher.record(timeliner.Event{Kind: "upstreamDrained", Upstream: name})
 	}
-	if upstream.causes.removed {
+	if upstream.causes.removed && dispatcher.upstreams[name] == upstream {
 		delete(dispatcher.upstreams, name)
 	}
 }
