Move shards between groups when the groups of a service change

Cause: homes were written once. After a zone's upstreams were removed from the document its shards would have been refused for ever, and the upstreams of a new zone would never have received a key.

Groups without upstreams run on until they have no shards.

Ruled out: a single VM that moves all shards; it does not know what is in flight at other holders.

Before: no move.

Conclusion: a lost zone's shards still stay, because nobody can withdraw them; docs/properties.md will list it.

--- a/internal/homer/homer.go
+++ b/internal/homer/homer.go
@@ -25,8 +25,8 @@
 	Put(ctx context.Context, name string, value []byte, version string) (string, error)
 }
 
-// Homer creates the homes of services that have none. Its exported fields are
-// set before Run.
+// Homer creates the homes of services that have none, and moves shards when the
+// groups of a service change. Its exported fields are set before Run.
 type Homer struct {
 	Clock    clocker.Clock
 	Objects  Objects
@@ -34,6 +34,7 @@
 	// Turn is this VM's place in the order of live VMs. VMs act one after the
 	// other, so that they rarely race; the conditional update decides if they do.
 	Turn     func() int
+	Groups   Groups
 	Recorder *timeliner.Recorder
 
 	since map[string]time.Time
@@ -64,6 +65,7 @@
 		for _, service := range section.Services {
 			if _, ok := homer.Objects.Get(ObjectName(service.Name)); ok {
 				delete(homer.since, service.Name)
+				homer.move(ctx, service)
 				continue
 			}
 			if homer.due(service.Name) {
--- a/internal/replicator/repair.go
+++ b/internal/replicator/repair.go
@@ -26,6 +26,9 @@
 	// formed anew. It is several leases long.
 	lostAfter     = 5 * time.Second
 	probeInterval = time.Second
+	// foreignDelay is how long VMs of other zones leave the forming to those of
+	// the group's zone. It covers the lag of the platform's list.
+	foreignDelay = 5 * time.Second
 	// termStep is above every term that candidates can reach under one record.
 	termStep = uint64(1) << 32
 	// foundAttempts bounds the time that a founder spends on one record.
@@ -33,7 +36,8 @@
 )
 
 // turn returns the delay after which this VM forms the group, and whether it may
-// do so at all: VMs of the group's zone may, or all VMs if it has none.
+// do so at all: VMs of the group's zone may, or all VMs if it seems to have none.
+// The latter wait, because a VM that has just started knows no other one.
 func (manager *Manager) turn(spec configurer.GroupSpec) (time.Duration, bool) {
 	order := manager.order(spec)
 	place := slices.Index(order, manager.VM)
@@ -42,7 +46,11 @@
 	if place < 0 || local && !slices.Contains(zone, manager.VM) {
 		return 0, false
 	}
-	return time.Duration(place) * formDelay, true
+	delay := time.Duration(place) * formDelay
+	if !local {
+		delay += foreignDelay
+	}
+	return delay, true
 }
 
 // formLater forms a group whose record does not exist, when it is this VM's turn.
--- a/internal/starter/members.go
+++ b/internal/starter/members.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,7 @@
 	upstreams *upstreamer.Client
 	recorder  *timeliner.Recorder
 	pulse     *pulse
+	pool      *linker.Pool
 	metrics   *prometheus.Registry
 	manager   *replicator.Manager
 
@@ -88,7 +90,7 @@
 	members := &members{
 		settings: parts.Settings, clock: parts.Clock, store: parts.Store, documents: parts.Documents, tracker: parts.Tracker,
 		locator: parts.Locator, registry: parts.Registry, upstreams: parts.Upstreams, recorder: parts.Recorder,
-		pulse: parts.Pulse, metrics: parts.Metrics, served: map[string]*member{},
+		pulse: parts.Pulse, pool: parts.Pool, metrics: parts.Metrics, served: map[string]*member{},
 	}
 	members.manager = &replicator.Manager{
 		VM: parts.Settings.Name, Clock: parts.Clock, Timing: parts.Settings.Timing(), Caller: parts.Pool,
@@ -101,7 +103,10 @@
 	return members
 }
 
-func (members *members) register(registrar linker.Registrar) { members.manager.Register(registrar) }
+func (members *members) register(registrar linker.Registrar) {
+	members.manager.Register(registrar)
+	registrar.Handle(callImport, members.answerImport)
+}
 
 // newest returns the value of an object as this VM knows it.
 func (members *members) newest(name string) ([]byte, bool) {
@@ -118,12 +123,38 @@
 	specs := []configurer.GroupSpec{}
 	for _, section := range document.Sections {
 		for _, service := range section.Services {
-			specs = append(specs, service.Groups()...)
+			specs = append(specs, members.groups(service)...)
 		}
 	}
 	return specs
 }
 
+// groups returns the groups of a service: those of the document, and those that
+// still have shards but no upstreams in the document any more.
+func (members *members) groups(service configurer.Service) []configurer.GroupSpec {
+	specs := service.Groups()
+	homes, ok := members.locator.Homes(service.Name)
+	if !ok {
+		return specs
+	}
+	for _, group := range homes.Groups {
+		listed := slices.ContainsFunc(specs, func(spec configurer.GroupSpec) bool { return spec.ID == group })
+		if !listed && len(homes.ShardsOf(group)) > 0 {
+			specs = append(specs, configurer.GroupSpec{ID: group, Service: service.Name, Zone: zoneOf(group)})
+		}
+	}
+	return specs
+}
+
+// zoneOf returns the zone of a group ID, which is <service>.<zone>.<n>.
+func zoneOf(group string) string {
+	parts := strings.Split(group, ".")
+	if len(parts) < 3 {
+		return ""
+	}
+	return parts[len(parts)-2]
+}
+
 // begin returns the dispatcher of a group that this VM takes part in.
 func (members *members) begin(spec configurer.GroupSpec) replicator.Member {
 	served := &dispatcher.Dispatcher{
@@ -197,8 +228,8 @@
 func (members *members) refresh() {
 	for _, section := range members.documents.Document().Sections {
 		for _, service := range section.Services {
-			members.refreshHomes(service)
-			for _, spec := range service.Groups() {
+			members.refreshService(service.Name)
+			for _, spec := range members.groups(service) {
 				members.refreshGroup(spec)
 			}
 		}
@@ -214,8 +245,9 @@
 	}
 }
 
-func (members *members) refreshHomes(service configurer.Service) {
-	value, ok := members.newest(homer.ObjectName(service.Name))
+// refreshService reads the homes of a service from the store.
+func (members *members) refreshService(service string) {
+	value, ok := members.newest(homer.ObjectName(service))
 	if !ok {
 		return
 	}
--- a/internal/starter/parts.go
+++ b/internal/starter/parts.go
@@ -104,9 +104,11 @@
 	return ok && (member.State == tracker.Alive || member.State == tracker.Leaving)
 }
 
-func newHomer(clock clocker.Clock, store *syncer.Store, documents *configurer.Store, pulse *pulse, recorder *timeliner.Recorder) *homer.Homer {
+func newHomer(clock clocker.Clock, store *syncer.Store, documents *configurer.Store, pulse *pulse, members *members,
+	recorder *timeliner.Recorder,
+) *homer.Homer {
 	return &homer.Homer{
-		Clock: clock, Objects: store, Document: documents.Document, Turn: pulse.turn, Recorder: recorder,
+		Clock: clock, Objects: store, Document: documents.Document, Turn: pulse.turn, Groups: members, Recorder: recorder,
 	}
 }
 
