Refuse requests that would be cut by their deadline

With the merged queue, uploads under overload wait for their minimum share and start shortly before their deadline. Of 8,000 uploads, 1 to 6 were cut at the upstream and answered "outcome unknown". Refusing in the queue was ruled out, because the queue does not know which requests are non-idempotent.

A request is now refused as "not run" when less than 1.25 times the usual service time of its rank is left. An idempotent one still runs on an idle upstream, and an expectation lasts 5 s after the last completed run, so that one slow time does not refuse everything afterwards.

--- a/internal/dispatcher/detector.go
+++ b/internal/dispatcher/detector.go
@@ -15,6 +15,11 @@
 	// slowFactor times the median counts as slow. Smaller differences follow
 	// from the keys.
 	slowFactor = 2
+	// expectationTime is how long a service time is expected again.
+	expectationTime = 5 * time.Second
+	// expectationFactor covers the variation around the mean. It is chosen, not
+	// measured.
+	expectationFactor = 1.25
 	// minSpeed keeps a small share on a slow upstream, so that its recovery is
 	// noticed.
 	minSpeed = 0.1
@@ -24,9 +29,11 @@
 type speed struct {
 	mean    [queuer.RankCount]float64 // seconds
 	samples [queuer.RankCount]int
+	last    [queuer.RankCount]time.Time // when the last run ended
 }
 
-func (speed *speed) add(rank queuer.Rank, service time.Duration) {
+func (speed *speed) add(rank queuer.Rank, service time.Duration, now time.Time) {
+	speed.last[rank] = now
 	if speed.samples[rank] == 0 {
 		speed.mean[rank] = service.Seconds()
 	}
@@ -34,6 +41,16 @@
 	speed.mean[rank] += speedWeight * (service.Seconds() - speed.mean[rank])
 }
 
+// expected returns a service time of the rank that few runs exceed, or 0 when it
+// is not known or no run has ended lately: an expectation that is too long
+// would otherwise refuse the runs that correct it.
+func (speed *speed) expected(rank queuer.Rank, now time.Time) time.Duration {
+	if speed.samples[rank] < speedSamples || now.Sub(speed.last[rank]) >= expectationTime {
+		return 0
+	}
+	return time.Duration(expectationFactor * speed.mean[rank] * float64(time.Second))
+}
+
 // relativeSpeeds compares each upstream with the group's median by rank. The
 // result is 1 for an upstream that is not slow, and less for a slow one.
 func relativeSpeeds(speeds map[string]*speed) map[string]float64 {
--- a/internal/dispatcher/finish.go
+++ b/internal/dispatcher/finish.go
@@ -102,7 +102,7 @@
 		dispatcher.budget.succeed()
 		dispatcher.loads.add(ticket.request.Key, ticket.request.Shard, held.Seconds()*upstream.relative)
 		if comparesWell(ticket.request) {
-			upstream.speed.add(ticket.request.Rank, service)
+			upstream.speed.add(ticket.request.Rank, service, dispatcher.Clock.Now())
 		}
 	}
 	dispatcher.release(ticket, held)
--- a/internal/dispatcher/slots.go
+++ b/internal/dispatcher/slots.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cuminstream/cuminstream/internal/asserter"
+	"github.com/cuminstream/cuminstream/pkg/answerer"
 )
 
 // The functions of this file must be called with the mutex held.
@@ -22,13 +23,23 @@
 }
 
 // give starts a ticket whose slot the queue has counted as taken. A suspect
-// waits until it is alone.
+// waits until it is alone. A request that would be cut by its deadline is
+// refused: it would take a slot for nothing, and the outcome of a
+// non-idempotent one would be unknown. An idempotent one runs on an idle
+// upstream, so that an expectation which has become too long is corrected.
 func (dispatcher *Dispatcher) give(upstream *upstream, ticket *ticket) {
 	if err := ticket.checkSuspect(); err != nil {
 		ticket.queue.Done(ticket.request.Rank, -1)
 		dispatcher.refuse(ticket, err)
 		return
 	}
+	now := dispatcher.Clock.Now()
+	left := ticket.request.Deadline.Sub(now)
+	if left < upstream.speed.expected(ticket.request.Rank, now) && (upstream.taken() > 0 || !ticket.request.Idempotent) {
+		ticket.queue.Done(ticket.request.Rank, -1)
+		dispatcher.refuse(ticket, answerer.New(answerer.NotRunDeadline, "%v are left, which is too short to run the request", left))
+		return
+	}
 	if owner, err := dispatcher.route(ticket); owner != upstream {
 		ticket.queue.Done(ticket.request.Rank, -1)
 		if err == nil {
