Spread heartbeats evenly over a large fleet

Cause: at 910 VMs in 8 zones one VM had 69 neighbours, where the mean is 22. All zones saw one order of its zone, so the VM behind the largest gap was chosen by all of them.

Change: each zone places the VMs of another zone in its own order.

Ruled out: matching VMs by rank, which is even but moves many pairs when one VM joins or leaves.

--- a/internal/heartbeater/heartbeater.go
+++ b/internal/heartbeater/heartbeater.go
@@ -260,7 +260,7 @@
 		known := heartbeater.neighbors[name]
 		if known == nil {
 			// The first exchanges are spread over the interval.
-			offset := time.Duration(position(name+heartbeater.Self.Name) % uint64(chosen.interval))
+			offset := time.Duration(position(name, heartbeater.Self.Name) % uint64(chosen.interval))
 			known = &schedule{next: now.Add(offset)}
 			heartbeater.neighbors[name] = known
 			changed = true
--- a/internal/heartbeater/heartbeater_test.go
+++ b/internal/heartbeater/heartbeater_test.go
@@ -146,6 +146,31 @@
 	})
 }
 
+// Guards against a VM of a large fleet that exchanges heartbeats with many more
+// others than the rest, and so exceeds the bound on control traffic.
+func TestDegreeInALargeFleet(t *testing.T) {
+	const count, zones, bound = 910, 8, 45
+	members := tracker.New(tracker.Config{Clock: clocker.NewFake(time.Unix(0, 0)), Heartbeat: 1, Suspicion: 4})
+	var vms []tracker.VM
+	for index := range count {
+		vms = append(vms, tracker.VM{Name: vmName(index), Zone: fmt.Sprintf("z%d", index%zones), Address: "x"})
+	}
+	members.Listed(vms)
+	pairs := map[[2]string]bool{}
+	for _, vm := range vms {
+		for _, chosen := range neighbors(vm.Name, vm.Zone, members.Snapshot()) {
+			pairs[[2]string{vm.Name, chosen.name}], pairs[[2]string{chosen.name, vm.Name}] = true, true
+		}
+	}
+	degrees, largest := map[string]int{}, 0
+	for pair := range pairs {
+		degrees[pair[0]]++
+		largest = max(largest, degrees[pair[0]])
+	}
+	t.Logf("mean %.1f, largest %d", float64(len(pairs))/count, largest)
+	assert.Assert(t, largest <= bound)
+}
+
 // Guards against a list that is read too rarely in a small fleet or while a VM
 // is suspected, and against a start without the platform that learns nothing.
 func TestListAndSeeds(t *testing.T) {
--- a/internal/heartbeater/neighbors.go
+++ b/internal/heartbeater/neighbors.go
@@ -20,8 +20,10 @@
 	smallFleet = 64
 )
 
-// position places a VM on the rings.
-func position(name string) uint64 { return xxhash.Sum64String(name) }
+// position places a VM on a ring. Each zone places the VMs of another in its own
+// way: with one ring for all, the VM behind the largest gap is chosen by all
+// zones, and had 69 neighbours at 910 VMs where the mean was 22.
+func position(zone, name string) uint64 { return xxhash.Sum64String(zone + "\x00" + name) }
 
 // neighbor is a VM with which the local VM exchanges heartbeats.
 type neighbor struct {
@@ -41,16 +43,17 @@
 	return cmp.Or(cmp.Compare(member.position, other.position), strings.Compare(member.name, other.name))
 }
 
-// ring returns the VMs that are not gone, in the order of their positions.
-func ring(members iter.Seq[tracker.Member], self string) []ringMember {
+// ring returns the VMs that are not gone, in the order of their positions for
+// the zone.
+func ring(zone string, members iter.Seq[tracker.Member], self string) []ringMember {
 	var placed []ringMember
 	for member := range members {
 		if member.State != tracker.Gone && member.Address != "" && member.Name != self {
-			placed = append(placed, ringMember{position(member.Name), member.Name})
+			placed = append(placed, ringMember{position(zone, member.Name), member.Name})
 		}
 	}
 	if self != "" {
-		placed = append(placed, ringMember{position(self), self})
+		placed = append(placed, ringMember{position(zone, self), self})
 	}
 	slices.SortFunc(placed, ringMember.compare)
 	return placed
@@ -60,7 +63,7 @@
 // share a group. Each zone's VMs form a ring, which keeps the zone connected;
 // each VM of the smaller of two zones has a link to the other zone.
 func neighbors(self, zone string, snapshot *tracker.Snapshot) []neighbor {
-	own := ring(snapshot.Zone(zone), self)
+	own := ring(zone, snapshot.Zone(zone), self)
 	chosen := zoneNeighbors(self, own)
 	each := 1
 	if snapshot.Len() < smallFleet {
@@ -70,11 +73,11 @@
 		if other == zone {
 			continue
 		}
-		theirs := ring(snapshot.Zone(other), "")
+		theirs := ring(zone, snapshot.Zone(other), "")
 		if len(theirs) == 0 || !participates(self, other, own, len(theirs)) {
 			continue
 		}
-		start, _ := slices.BinarySearchFunc(theirs, ringMember{position(self), self}, ringMember.compare)
+		start, _ := slices.BinarySearchFunc(theirs, ringMember{position(zone, self), self}, ringMember.compare)
 		for index := range min(each, len(theirs)) {
 			chosen = append(chosen, neighbor{theirs[(start+index)%len(theirs)].name, true})
 		}
