Follow hand-overs, and try VMs that were not heard of yet

Cause: 5 quotes were refused as notRunStopping while a group was handed over, and a VM that had just started refused a booking because it had not heard of the candidates yet.

Change: the router goes on to the next candidate after notRunStopping, and leaves out only VMs that something speaks against. Outcomes of handed-over requests and request IDs of moving shards go to the present holder by one call (settle). Links to a VM that is gone or restarted are dropped.

Ruled out: waiting at the holder that gives the group up; it does not know when its successor serves.

--- a/internal/dispatcher/transfer.go
+++ b/internal/dispatcher/transfer.go
@@ -1,10 +1,8 @@
 package dispatcher
 
 import (
-	"context"
 	"fmt"
 
-	"github.com/cuminstream/cuminstream/internal/replicator"
 	"github.com/cuminstream/cuminstream/pkg/deduper"
 )
 
@@ -35,17 +33,3 @@
 	}
 	return tenure.requests.Entries(), nil
 }
-
-// Import adds the request IDs of another group, and returns once a majority of
-// the candidates has them.
-func (dispatcher *Dispatcher) Import(ctx context.Context, entries []deduper.Entry) error {
-	tenure := dispatcher.current()
-	if tenure == nil {
-		return fmt.Errorf("this VM does not hold group %s", dispatcher.Group)
-	}
-	tenure.requests.Merge(entries)
-	if err := tenure.lease.Copy(ctx, replicator.Entries{Requests: entries}); err != nil {
-		return fmt.Errorf("request IDs for group %s: %w", dispatcher.Group, err)
-	}
-	return nil
-}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -76,7 +76,7 @@
 	order := attempt.router.Locator.Order(attempt.request.Group)
 	alive := make([]string, 0, len(order))
 	for _, vm := range order {
-		if vm == attempt.router.VM || attempt.router.Liveness.Alive(vm) {
+		if vm == attempt.router.VM || attempt.router.Liveness.Reachable(vm) {
 			alive = append(alive, vm)
 		}
 	}
@@ -103,7 +103,7 @@
 	switch {
 	case errors.Is(err, errNoCandidate):
 		return attempt.router.Locator.Candidates(attempt.request.Group) == nil
-	case err.Kind == answerer.NotRunUnavailable:
+	case err.Kind == answerer.NotRunUnavailable, err.Kind == answerer.NotRunStopping:
 		return true
 	case attempt.sentUnknown && err.Kind == answerer.DuplicateInProgress:
 		// The first copy of this request is still running; its outcome follows.
@@ -135,7 +135,7 @@
 	if attempt.sentUnknown && (err.Kind.Answer().NotRun || err.Kind == answerer.DuplicateInProgress) {
 		return answerer.New(answerer.OutcomeUnknown, "the holder was lost after the request was passed to it: %w", err)
 	}
-	if ctx.Err() != nil && err.Kind == answerer.NotRunUnavailable {
+	if ctx.Err() != nil && (err.Kind == answerer.NotRunUnavailable || err.Kind == answerer.NotRunStopping) {
 		return answerer.New(answerer.NotRunDeadline, "no holder answered before the deadline: %w", err)
 	}
 	return err
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,9 +27,10 @@
 	Forward(ctx context.Context, vm string, request *carrier.Request) (*carrier.Response, error)
 }
 
-// Liveness tells which VMs are believed to be reachable.
+// Liveness tells which VMs may be reachable: all that nothing speaks against. A
+// VM that was not heard of yet is one of them.
 type Liveness interface {
-	Alive(vm string) bool
+	Reachable(vm string) bool
 }
 
 // Router answers callers. Its exported fields are set before it serves.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -43,7 +43,7 @@
 	return handler(ctx, request)
 }
 
-func (vms *vms) Alive(vm string) bool { return !vms.dead[vm] }
+func (vms *vms) Reachable(vm string) bool { return !vms.dead[vm] }
 
 func (vms *vms) Handle(ctx context.Context, request *carrier.Request) (*carrier.Response, error) {
 	return vms.Forward(ctx, "self", request)
@@ -165,6 +165,17 @@
 	assert.DeepEqual(t, fleet.calls, []string{"a", "b", "c"})
 }
 
+// Guards against a request that fails because its group is handed over.
+func TestRequestFollowsAHandOver(t *testing.T) {
+	stopping := func(context.Context, *carrier.Request) (*carrier.Response, error) {
+		return nil, answerer.New(answerer.NotRunStopping, "the group is given up by this VM")
+	}
+	fleet := &vms{handlers: map[string]func(context.Context, *carrier.Request) (*carrier.Response, error){"a": stopping, "b": echo}}
+	response, body := send(t, serve(t, fleet), "POST", "/quotes/k", "content", "Cuminstream-Request-Id", "r1")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "content")
+}
+
 // Guards against "not run" for a request that a lost holder may have run.
 func TestLostHolderOfNonIdempotentRequestIsNotDenied(t *testing.T) {
 	lost := func(context.Context, *carrier.Request) (*carrier.Response, error) {
--- a/internal/starter/members.go
+++ b/internal/starter/members.go
@@ -105,7 +105,7 @@
 
 func (members *members) register(registrar linker.Registrar) {
 	members.manager.Register(registrar)
-	registrar.Handle(callImport, members.answerImport)
+	registrar.Handle(callSettle, members.answerSettle)
 }
 
 // newest returns the value of an object as this VM knows it.
@@ -162,6 +162,9 @@
 		Persist: func(ctx context.Context, assignment replicator.Assignment) error {
 			return members.persist(ctx, spec.ID, assignment)
 		},
+		Report: func(ctx context.Context, entries replicator.Entries) error {
+			return members.settle(ctx, spec.ID, entries)
+		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &member{service: spec.Service, dispatcher: served, cancel: cancel}
--- a/internal/starter/parts.go
+++ b/internal/starter/parts.go
@@ -98,12 +98,19 @@
 	return member.Address, ok && member.Address != ""
 }
 
-// Alive implements router.Liveness.
+// Alive reports whether the VM is known and nothing speaks against it.
 func (directory directory) Alive(vm string) bool {
 	member, ok := directory.tracker.Snapshot().Member(vm)
 	return ok && (member.State == tracker.Alive || member.State == tracker.Leaving)
 }
 
+// Reachable implements router.Liveness. Shortly after its start a VM does not
+// know all others yet.
+func (directory directory) Reachable(vm string) bool {
+	_, known := directory.tracker.Snapshot().Member(vm)
+	return !known || directory.Alive(vm)
+}
+
 func newHomer(clock clocker.Clock, store *syncer.Store, documents *configurer.Store, pulse *pulse, members *members,
 	recorder *timeliner.Recorder,
 ) *homer.Homer {
--- a/internal/starter/pulse.go
+++ b/internal/starter/pulse.go
@@ -48,6 +48,8 @@
 	held    func() map[string]uint64
 	records func() []replicator.Record
 	suspect func(vm string)
+	// drop closes the links to a VM whose process has ended.
+	drop func(vm string)
 	// upstreamsLeave is told which upstreams the platform's list shows as
 	// leaving.
 	upstreamsLeave func(names []string)
@@ -70,7 +72,7 @@
 	}
 	pulse := &pulse{
 		settings: settings, tracker: tracked, exchange: exchange, locator: places, recorder: recorder,
-		differ: map[string]uint64{}, counts: map[string]int{}, pulls: make(chan struct{}, 1),
+		drop: pool.Drop, differ: map[string]uint64{}, counts: map[string]int{}, pulls: make(chan struct{}, 1),
 	}
 	pulse.heartbeat = &heartbeater.Heartbeater{
 		Self: tracker.VM{
@@ -235,6 +237,9 @@
 	if change.Restarted() || change.After.State == tracker.Suspected || change.After.State == tracker.Gone {
 		pulse.suspect(change.After.Name)
 	}
+	if change.Restarted() || change.After.State == tracker.Gone {
+		pulse.drop(change.After.Name)
+	}
 	detail := change.After.Name + " is " + change.After.State.String()
 	if change.Restarted() {
 		detail = change.After.Name + " was restarted"
--- a/internal/starter/transfer.go
+++ b/internal/starter/transfer.go
@@ -7,36 +7,61 @@
 	"slices"
 	"time"
 
+	"github.com/cuminstream/cuminstream/internal/replicator"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 	"github.com/cuminstream/cuminstream/pkg/deduper"
 )
 
 const (
-	// callImport passes the request IDs of a group that gives shards away.
-	callImport = "importRequests"
-	// importBatch keeps one call within the links' message size.
-	importBatch = 4000
+	// callSettle passes what a VM knows of requests to the holder of a group: how
+	// those have ended that a former holder had in flight, and the request IDs of
+	// a group that gives shards away.
+	callSettle = "settle"
+	// settleBatch keeps one call within the links' message size.
+	settleBatch = 4000
+	// settleAttempts and settlePause bound the search for a holder during a
+	// takeover.
+	settleAttempts = 20
+	settlePause    = 100 * time.Millisecond
 	// withdrawTimeout bounds the wait for requests in flight of moving shards.
 	withdrawTimeout = 5 * time.Second
 	withdrawPoll    = 10 * time.Millisecond
 )
 
-// importedRequests is the body of callImport.
-type importedRequests struct {
-	Group   string          `cbor:"group"`
-	Entries []deduper.Entry `cbor:"entries"`
+// settling is the body of callSettle.
+type settling struct {
+	Group   string             `cbor:"group"`
+	Entries replicator.Entries `cbor:"entries"`
 }
 
-func (members *members) answerImport(ctx context.Context, _ string, decode func(any) error) (any, error) {
-	var received importedRequests
+func (members *members) answerSettle(ctx context.Context, _ string, decode func(any) error) (any, error) {
+	var received settling
 	if err := decode(&received); err != nil {
-		return nil, fmt.Errorf("imported request IDs: %w", err)
+		return nil, fmt.Errorf("entries for a group: %w", err)
 	}
 	found := members.find(received.Group)
 	if found == nil {
 		return nil, fmt.Errorf("this VM does not take part in group %s", received.Group)
 	}
-	return nil, found.dispatcher.Import(ctx, received.Entries)
+	return nil, found.dispatcher.Settle(ctx, received.Entries)
+}
+
+// settle passes entries to the holder of the group. It tries again while the
+// group has none.
+func (members *members) settle(ctx context.Context, group string, entries replicator.Entries) error {
+	var failure error
+	for range settleAttempts {
+		vm, _, ok := members.locator.Holder(group)
+		if !ok {
+			failure = fmt.Errorf("group %s has no known holder", group)
+		} else if failure = members.pool.Call(ctx, vm, callSettle, settling{Group: group, Entries: entries}, nil); failure == nil {
+			return nil
+		}
+		if clocker.Sleep(ctx, members.clock, settlePause) != nil {
+			break
+		}
+	}
+	return fmt.Errorf("entries for group %s: %w", group, failure)
 }
 
 // Holds implements homer.Groups.
@@ -86,14 +111,10 @@
 // export passes request IDs to the holder of the receiving group. Without any
 // entries it still makes sure that the group has a holder.
 func (members *members) export(ctx context.Context, receiver string, entries []deduper.Entry) error {
-	vm, _, ok := members.locator.Holder(receiver)
-	if !ok {
-		return fmt.Errorf("group %s has no known holder", receiver)
-	}
 	for {
-		batch := entries[:min(importBatch, len(entries))]
-		if err := members.pool.Call(ctx, vm, callImport, importedRequests{Group: receiver, Entries: batch}, nil); err != nil {
-			return fmt.Errorf("request IDs for group %s: %w", receiver, err)
+		batch := entries[:min(settleBatch, len(entries))]
+		if err := members.settle(ctx, receiver, replicator.Entries{Requests: batch}); err != nil {
+			return err
 		}
 		entries = entries[len(batch):]
 		if len(entries) == 0 {
