Keep the credit of one run for a rank without waiting work

Change: a rank without waiting work keeps up to the cost of one mean run. The test of the lookup flood now follows an upload flood directly and measures 60 s instead of 30 s with the same allowance of one run.

Conclusion: minimum shares hold for ranks that ask for them with gaps.

--- a/pkg/queuer/share.go
+++ b/pkg/queuer/share.go
@@ -14,7 +14,9 @@
 	// be paid back in full, so that its rank does not receive too much; use of
 	// slots that nobody else wanted should be forgotten soon.
 	debtRuns = 2
-	// idleCredit bounds the credit of a rank without waiting work.
+	// idleCredit bounds the credit of a rank without waiting work, unless one
+	// run takes longer. With less than one run, uploads that arrived with gaps
+	// received 0.089 of the slot time in a lookup flood instead of 0.1.
 	idleCredit = time.Second
 )
 
@@ -67,7 +69,7 @@
 		most := due * creditWindow.Seconds()
 		least := -debtRuns * queue.service[rank].mean
 		if queue.lines[rank].length == 0 {
-			most = due * idleCredit.Seconds()
+			most = max(due*idleCredit.Seconds(), queue.service[rank].mean)
 		}
 		shares.credit[rank] = min(max(shares.credit[rank]+(due-taken)*elapsed, least), most)
 	}
--- a/pkg/queuer/targets_test.go
+++ b/pkg/queuer/targets_test.go
@@ -38,15 +38,16 @@
 	}
 }
 
-// Guards against a lookup flood that wastes capacity, takes the minimum shares
-// of other ranks, stops an upload, or whose effects last after its end.
+// Guards against a lookup flood, right after an upload flood, that wastes
+// capacity, takes the minimum shares of other ranks, stops an upload, or whose
+// effects last after its end.
 func TestLookupFlood(t *testing.T) {
 	t.Parallel()
 	flooded := [RankCount]float64{trialFlood, 0.2, 0.2} // the others ask for twice their minimum shares
 	phases := []phase{
-		{trialWarmUp, trialNormal},
+		{trialWarmUp, [RankCount]float64{0.2, 0.08, trialFlood}},
 		{20 * time.Second, flooded}, // until uploads from before the flood are paid back
-		{30 * time.Second, flooded},
+		{60 * time.Second, flooded},
 		{trialRecovery, trialNormal},
 		{40 * time.Second, trialNormal},
 	}
