Keep terms of newly formed groups within the order of request IDs

Cause: forming a group anew raised the terms by 2^32, and request IDs order their runs by term times 2^32. A run under the new terms overflowed and lost against one of the old terms when tables were merged, so that a request could have run twice.

Ruled out: ordering by term first; entries that a former holder settles keep its term.

Change: the step is 2^20, which leaves 4096 formings of a group.

--- a/internal/replicator/repair.go
+++ b/internal/replicator/repair.go
@@ -30,7 +30,8 @@
 	// the group's zone. It covers the lag of the platform's list.
 	foreignDelay = 5 * time.Second
 	// termStep is above every term that candidates can reach under one record.
-	termStep = uint64(1) << 32
+	// Request IDs need terms below 2^32, which leaves 4096 new formings.
+	termStep = uint64(1) << 20
 	// foundAttempts bounds the time that a founder spends on one record.
 	foundAttempts = 10
 )
