Count the copy of a joining VM that became holder as complete

A VM that had joined became holder before it had received the state a second time. When the previous list was cleared it no longer counted, and with one more restart no quorum was left.

Change: a take-over makes the own copy complete; it holds what a quorum of both lists has stored.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -149,6 +149,8 @@
 			changed[id] = true
 		}
 	}
+	// What a quorum of both lists has stored is now here.
+	group.complete = true
 	state := group.store.state(now)
 	changes := map[string][]Entries{}
 	for vm, other := range readings {
