Offer an inherited assignment to the platform

Cause: only a change of the assignment woke the writer of a tenure. When a holder moved the keys of a lost upstream while the platform was down and was then lost itself, its successor had the assignment from a majority, changed nothing, and never wrote it.

Found by a process test: 50 s after the platform had returned, its object still named the lost upstream. A slow retry is ruled out, since a failed write is repeated every second.

Change: a holder offers the inherited assignment once when it begins. The write is left out when the platform already has that term and version, so that a takeover costs no write in the ordinary case.

TestInheritedAssignmentIsPersisted fails without the offer (stored version 0 instead of 1) and passes 5 of 5 runs with -race with it.

Conclusion: decisions of an outage reach the platform through any holder.

--- a/internal/dispatcher/decisions.go
+++ b/internal/dispatcher/decisions.go
@@ -291,6 +291,11 @@
 			return concerned[place]
 		})
 	}
+	tenure.offer()
+}
+
+// offer lets the platform have the newest assignment.
+func (tenure *tenure) offer() {
 	select {
 	case tenure.persist <- struct{}{}:
 	default:
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -130,6 +130,11 @@
 	for _, upstream := range dispatcher.names() {
 		dispatcher.spawn(func() { dispatcher.renewals(started, upstream) })
 	}
+	if state.Assignment.Version > 0 {
+		// The former holder may have been lost before the platform had its last
+		// assignment.
+		started.offer()
+	}
 	return nil
 }
 
--- a/internal/dispatcher/placement_test.go
+++ b/internal/dispatcher/placement_test.go
@@ -171,6 +171,28 @@
 	})
 }
 
+// Guards against an assignment that the platform never gets because its holder
+// was lost during an outage of the platform and the next one changes nothing.
+func TestInheritedAssignmentIsPersisted(t *testing.T) {
+	run(t, true, three, func(t *testing.T, bench *bench) {
+		var inherited replicator.Assignment
+		bench.lease.set(func() {
+			inherited = *bench.lease.copies[len(bench.lease.copies)-1].Assignment
+		})
+		var stored atomic.Uint64
+		persist := func(assignment replicator.Assignment) error {
+			stored.Store(assignment.Version)
+			return nil
+		}
+		bench.persist.Store(&persist)
+		bench.dispatcher.End(false)
+		bench.begin(&lease{term: 2}, replicator.State{Assignment: inherited})
+		bench.sleep(2 * time.Second)
+		assert.Equal(t, bench.dispatcher.Status().Version, inherited.Version)
+		assert.Equal(t, stored.Load(), inherited.Version)
+	})
+}
+
 // Guards against a repeat that runs after the group has lost its memory.
 func TestLostMemoryRefusesPossibleRepeats(t *testing.T) {
 	t.Parallel()
--- a/internal/starter/adapters.go
+++ b/internal/starter/adapters.go
@@ -93,6 +93,9 @@
 		if former.Assignment.Newer(assignment) {
 			return errNewerAssignment
 		}
+		if !assignment.Newer(former.Assignment) {
+			return nil // the platform has it, as after most takeovers
+		}
 		next.Revision = former.Revision + 1
 	}
 	value, err := json.Marshal(next)
