--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -23,12 +23,15 @@
 
 // Group is a group of which the VM is a candidate.
 type Group struct {
-	ID         string     `json:"id"`
-	Holder     string     `json:"holder"`
-	Term       uint64     `json:"term"`
-	Candidates []string   `json:"candidates"`
-	Shards     int        `json:"shards"`
-	Upstreams  []Upstream `json:"upstreams,omitempty"` // told by the holder only
+	ID         string   `json:"id"`
+	Holder     string   `json:"holder"`
+	Term       uint64   `json:"term"`
+	Candidates []string `json:"candidates"`
+	// Synchronized tells that this VM has the group's state and gives promises.
+	// Another candidate should be stopped only when all are synchronized.
+	Synchronized bool       `json:"synchronized"`
+	Shards       int        `json:"shards"`
+	Upstreams    []Upstream `json:"upstreams,omitempty"` // told by the holder only
 }
 
 // Upstream is the state of an upstream as its group's holder sees it.
--- a/internal/standin/upstreamer/server.go
+++ b/internal/standin/upstreamer/server.go
@@ -98,6 +98,11 @@
 		kong.Description("A stand-in for an upstream, for tests, demo and measurements."))
 	upstream := New(settings, clocker.System{})
 	upstream.Crash = func() { os.Exit(crashStatus) }
+	if settings.RecordFile != "" {
+		file, err := os.OpenFile(settings.RecordFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		parser.FatalIfErrorf(err)
+		upstream.Sink = file
+	}
 	listener, err := upstream.Listen()
 	parser.FatalIfErrorf(err)
 	fmt.Println(upstream.Address())
--- a/internal/standin/upstreamer/settings.go
+++ b/internal/standin/upstreamer/settings.go
@@ -16,6 +16,7 @@
 	ChecksGrants bool          `default:"true" negatable:"" help:"Refuse requests that the grant does not cover."`
 	Cold         time.Duration `default:"0s" help:"Time after the start during which work is five times slower."`
 	Seed         uint64        `default:"1" help:"Seed of the choice of failing requests."`
+	RecordFile   string        `help:"File to which each record is appended as a line of JSON. It outlives the process."`
 }
 
 // coldFactor is how much slower a cold upstream works.
--- a/internal/standin/upstreamer/upstream.go
+++ b/internal/standin/upstreamer/upstream.go
@@ -1,7 +1,9 @@
 package upstreamer
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -24,6 +26,8 @@
 	// Crash is called when a request asks for it. The default closes the
 	// listener and all connections.
 	Crash func()
+	// Sink gets each record as a line of JSON where it is not nil.
+	Sink io.Writer
 
 	mutex    sync.Mutex
 	behavior Behavior
@@ -85,11 +89,15 @@
 
 func (upstream *Upstream) record(kind Kind, request *http.Request, detail string) {
 	term, _ := strconv.ParseUint(request.Header.Get("Cuminstream-Term"), 10, 64)
-	upstream.records = append(upstream.records, Record{
+	record := Record{
 		Kind: kind, Time: upstream.clock.Now(), Request: request.Header.Get("Cuminstream-Request-Id"),
 		Key: requestKey(request), Shard: request.Header.Get("Cuminstream-Shard"),
 		Term: term, Detail: detail,
-	})
+	}
+	upstream.records = append(upstream.records, record)
+	if upstream.Sink != nil {
+		_ = json.NewEncoder(upstream.Sink).Encode(record)
+	}
 }
 
 // requestKey returns the key, which the header carries percent-encoded.
--- a/internal/starter/report.go
+++ b/internal/starter/report.go
@@ -35,6 +35,7 @@
 	if replicated, ok := members.manager.Group(id); ok {
 		vm, group.Term, _ = replicated.Holder()
 		group.Holder, group.Candidates = vm, replicated.Newest().Candidates
+		group.Synchronized = replicated.Synchronized()
 	}
 	if homes, ok := members.locator.Homes(member.service); ok {
 		group.Shards = len(homes.ShardsOf(id))
