--- a/internal/starter/members.go
+++ b/internal/starter/members.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,13 +46,16 @@
 	upstreams *upstreamer.Client
 	recorder  *timeliner.Recorder
 	pulse     *pulse
+	pool      *linker.Pool
 	metrics   *prometheus.Registry
 	manager   *replicator.Manager
 
 	mutex    sync.Mutex
 	served   map[string]*member
+	leaving  []string // upstreams that the platform's list shows as leaving
 	running  errgroup.Group
 	stopping atomic.Bool
+	planned  atomic.Bool // the document plans a stop of this VM
 }
 
 // member is the dispatcher of one group on this VM.
@@ -85,7 +90,7 @@
 	members := &members{
 		settings: parts.Settings, clock: parts.Clock, store: parts.Store, documents: parts.Documents, tracker: parts.Tracker,
 		locator: parts.Locator, registry: parts.Registry, upstreams: parts.Upstreams, recorder: parts.Recorder,
-		pulse: parts.Pulse, metrics: parts.Metrics, served: map[string]*member{},
+		pulse: parts.Pulse, pool: parts.Pool, metrics: parts.Metrics, served: map[string]*member{},
 	}
 	members.manager = &replicator.Manager{
 		VM: parts.Settings.Name, Clock: parts.Clock, Timing: parts.Settings.Timing(), Caller: parts.Pool,
@@ -93,12 +98,15 @@
 		Liveness: liveness{tracker: parts.Tracker, clock: parts.Clock, name: parts.Settings.Name, zone: parts.Settings.Zone},
 		Recorder: parts.Recorder, Specs: members.specs, Newest: members.newest, Member: members.begin,
 	}
-	parts.Pulse.held = members.held
+	parts.Pulse.held, parts.Pulse.records, parts.Pulse.upstreamsLeave = members.held, members.records, members.upstreamsLeave
 	parts.Store.Watches = parts.Pulse.watches
 	return members
 }
 
-func (members *members) register(registrar linker.Registrar) { members.manager.Register(registrar) }
+func (members *members) register(registrar linker.Registrar) {
+	members.manager.Register(registrar)
+	registrar.Handle(callSettle, members.answerSettle)
+}
 
 // newest returns the value of an object as this VM knows it.
 func (members *members) newest(name string) ([]byte, bool) {
@@ -115,12 +123,38 @@
 	specs := []configurer.GroupSpec{}
 	for _, section := range document.Sections {
 		for _, service := range section.Services {
-			specs = append(specs, service.Groups()...)
+			specs = append(specs, members.groups(service)...)
+		}
+	}
+	return specs
+}
+
+// groups returns the groups of a service: those of the document, and those that
+// still have shards but no upstreams in the document any more.
+func (members *members) groups(service configurer.Service) []configurer.GroupSpec {
+	specs := service.Groups()
+	homes, ok := members.locator.Homes(service.Name)
+	if !ok {
+		return specs
+	}
+	for _, group := range homes.Groups {
+		listed := slices.ContainsFunc(specs, func(spec configurer.GroupSpec) bool { return spec.ID == group })
+		if !listed && len(homes.ShardsOf(group)) > 0 {
+			specs = append(specs, configurer.GroupSpec{ID: group, Service: service.Name, Zone: zoneOf(group)})
 		}
 	}
 	return specs
 }
 
+// zoneOf returns the zone of a group ID, which is <service>.<zone>.<n>.
+func zoneOf(group string) string {
+	parts := strings.Split(group, ".")
+	if len(parts) < 3 {
+		return ""
+	}
+	return parts[len(parts)-2]
+}
+
 // begin returns the dispatcher of a group that this VM takes part in.
 func (members *members) begin(spec configurer.GroupSpec) replicator.Member {
 	served := &dispatcher.Dispatcher{
@@ -128,6 +162,9 @@
 		Persist: func(ctx context.Context, assignment replicator.Assignment) error {
 			return members.persist(ctx, spec.ID, assignment)
 		},
+		Report: func(ctx context.Context, entries replicator.Entries) error {
+			return members.settle(ctx, spec.ID, entries)
+		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &member{service: spec.Service, dispatcher: served, cancel: cancel}
@@ -137,7 +174,9 @@
 		former.cancel()
 	}
 	members.served[spec.ID] = started
+	leaving := members.leaving
 	members.mutex.Unlock()
+	served.SetLeaving(leaving)
 	members.registry.Set(spec.ID, served)
 	members.running.Go(func() error { return served.Run(ctx) })
 	return served
@@ -167,10 +206,12 @@
 		}
 		return nil
 	})
+	group.Go(func() error { return members.spread(ctx) })
 	ticker := members.clock.NewTicker(memberPeriod)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		members.refresh()
+		members.checkStop(ctx)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C():
@@ -190,8 +231,8 @@
 func (members *members) refresh() {
 	for _, section := range members.documents.Document().Sections {
 		for _, service := range section.Services {
-			members.refreshHomes(service)
-			for _, spec := range service.Groups() {
+			members.refreshService(service.Name)
+			for _, spec := range members.groups(service) {
 				members.refreshGroup(spec)
 			}
 		}
@@ -207,8 +248,9 @@
 	}
 }
 
-func (members *members) refreshHomes(service configurer.Service) {
-	value, ok := members.newest(homer.ObjectName(service.Name))
+// refreshService reads the homes of a service from the store.
+func (members *members) refreshService(service string) {
+	value, ok := members.newest(homer.ObjectName(service))
 	if !ok {
 		return
 	}
@@ -243,6 +285,17 @@
 	return maps.Clone(members.served)
 }
 
+// records returns the records of the groups of which this VM is a candidate.
+func (members *members) records() []replicator.Record {
+	var records []replicator.Record
+	for id := range members.all() {
+		if record, ok := members.manager.Record(id); ok {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
 // held returns the groups that this VM serves, with their terms.
 func (members *members) held() map[string]uint64 {
 	held := map[string]uint64{}
@@ -261,7 +314,7 @@
 // ready reports whether a document and the homes of all its services are known.
 func (members *members) ready() bool {
 	document := members.documents.Document()
-	if members.stopping.Load() || document.Revision == 0 {
+	if members.stopping.Load() || members.planned.Load() || document.Revision == 0 {
 		return false
 	}
 	for _, section := range document.Sections {
@@ -274,6 +327,56 @@
 	return true
 }
 
+// upstreamsLeave tells the dispatchers which upstreams the platform's list shows
+// as leaving.
+func (members *members) upstreamsLeave(names []string) {
+	members.mutex.Lock()
+	changed := !slices.Equal(members.leaving, names)
+	members.leaving = names
+	served := maps.Clone(members.served)
+	members.mutex.Unlock()
+	if !changed {
+		return
+	}
+	for _, member := range served {
+		member.dispatcher.SetLeaving(names)
+	}
+}
+
+// stops returns the VMs for which the document has a planned stop.
+func (members *members) stops() []string {
+	var names []string
+	for _, section := range members.documents.Document().Sections {
+		for _, stop := range section.Stops {
+			if stop.VM != "" {
+				names = append(names, stop.VM)
+			}
+		}
+	}
+	return names
+}
+
+// checkStop hands all groups over once the document plans a stop of this VM, and
+// takes part again once the stop is over. The process goes on and forwards
+// requests until it is told to end.
+func (members *members) checkStop(ctx context.Context) {
+	planned := slices.Contains(members.stops(), members.settings.Name)
+	if planned == members.planned.Swap(planned) {
+		return
+	}
+	members.pulse.leaving.Store(planned)
+	if !planned {
+		members.recorder.Record(timeliner.Event{Kind: "vmDrainCancelled"})
+		members.manager.Resume()
+		return
+	}
+	members.recorder.Record(timeliner.Event{Kind: "vmDraining"})
+	members.running.Go(func() error {
+		members.release(ctx)
+		return nil
+	})
+}
+
 // leave ends readiness, so that the balancer sends no new connections.
 func (members *members) leave() { members.stopping.Store(true) }
 
--- a/internal/starter/parts.go
+++ b/internal/starter/parts.go
@@ -32,7 +32,9 @@
 			func() clocker.Clock { return clocker.System{} },
 			newRegistry, newRecorder, newPlatform, newStore, newTracker, newServer, newPool, newHomer, newUpstreams,
 			newRouter, newOperator, newMembers, newPulse, newDaemon,
-			func(store *syncer.Store, pool *linker.Pool) *exchange { return newExchange(store, pool) },
+			func(store *syncer.Store, pool *linker.Pool, clock clocker.Clock) *exchange {
+				return newExchange(store, pool, clock)
+			},
 			func() *configurer.Store { return &configurer.Store{} },
 			locator.New,
 			func(locator *locator.Locator) *router.Registry { return &router.Registry{Locator: locator} },
@@ -96,15 +98,24 @@
 	return member.Address, ok && member.Address != ""
 }
 
-// Alive implements router.Liveness.
+// Alive reports whether the VM is known and nothing speaks against it.
 func (directory directory) Alive(vm string) bool {
 	member, ok := directory.tracker.Snapshot().Member(vm)
 	return ok && (member.State == tracker.Alive || member.State == tracker.Leaving)
 }
 
-func newHomer(clock clocker.Clock, store *syncer.Store, documents *configurer.Store, pulse *pulse, recorder *timeliner.Recorder) *homer.Homer {
+// Reachable implements router.Liveness. Shortly after its start a VM does not
+// know all others yet.
+func (directory directory) Reachable(vm string) bool {
+	_, known := directory.tracker.Snapshot().Member(vm)
+	return !known || directory.Alive(vm)
+}
+
+func newHomer(clock clocker.Clock, store *syncer.Store, documents *configurer.Store, pulse *pulse, members *members,
+	recorder *timeliner.Recorder,
+) *homer.Homer {
 	return &homer.Homer{
-		Clock: clock, Objects: store, Document: documents.Document, Turn: pulse.turn, Recorder: recorder,
+		Clock: clock, Objects: store, Document: documents.Document, Turn: pulse.turn, Groups: members, Recorder: recorder,
 	}
 }
 
