--- a/internal/standin/prover/caller.go
+++ b/internal/standin/prover/caller.go
@@ -122,7 +122,7 @@
 	defer context.AfterFunc(vm.lost, cancel)()
 	sent := attempt{
 		ID: order.id, Service: order.service, Key: order.key, Idempotent: order.method != http.MethodPost,
-		Lookup: order.method == http.MethodGet,
+		Lookup:   order.method == http.MethodGet,
 		BodyHash: order.bodyHash, VM: vm.Name, Start: clock.Now(),
 	}
 	if order.reader == nil {
