Hand no group to a VM that has announced its stop

Cause: the hand-over that spreads groups took every VM that the links may reach as a successor, and that includes a leaving one. In a process test of planned stops, vm-b-1 released its groups to vm-b-2 at 26.176 s; vm-b-2 gave one of them back to vm-b-1 at 26.269 s, which had retired from it and did not take it.

Ruled out: the planned release itself, which prefers successors that stay.

Change: a successor must be alive and not leaving.

--- a/internal/starter/spread.go
+++ b/internal/starter/spread.go
@@ -8,6 +8,7 @@
 
 	"github.com/cuminstream/cuminstream/internal/replicator"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/tracker"
 )
 
 const (
@@ -55,8 +56,10 @@
 	return nil, "", false
 }
 
-// eligible reports whether the VM may serve groups of this VM's zone.
+// eligible reports whether the VM may serve groups of this VM's zone. One that
+// has announced its stop would not take the group, which would then be without
+// a holder until the others suspect it.
 func (members *members) eligible(vm string) bool {
 	member, ok := members.tracker.Snapshot().Member(vm)
-	return ok && member.Zone == members.settings.Zone && directory{members.tracker}.Alive(vm) && !slices.Contains(members.stops(), vm)
+	return ok && member.Zone == members.settings.Zone && member.State == tracker.Alive && !slices.Contains(members.stops(), vm)
 }
