--- a/internal/standin/measurer/losses.go
+++ b/internal/standin/measurer/losses.go
@@ -29,8 +29,8 @@
 // loss is a kind of failure whose effect on keys is measured.
 type loss struct {
 	name string
-	// strike fails a process and returns what mends it.
-	strike func(ctx context.Context, system *system, random *rand.Rand) (victim string, mend func() error, err error)
+	// inject fails a process and returns what repairs it.
+	inject func(ctx context.Context, system *system, random *rand.Rand) (victim string, repair func() error, err error)
 }
 
 var losses = []loss{
@@ -226,7 +226,7 @@
 	group.Go(func() error { return follower.run(following) })
 	defer group.Wait() //nolint:errcheck // run returns no error
 	defer stop()
-	longest, err := flags.strikeAll(ctx, report, system, follower, loss)
+	longest, err := flags.injectAll(ctx, report, system, follower, loss)
 	if err != nil {
 		return err
 	}
@@ -243,9 +243,9 @@
 	return nil
 }
 
-// strikeAll returns the longest unavailable time of each loss that affected a
+// injectAll returns the longest unavailable time of each loss that affected a
 // followed key.
-func (flags flags) strikeAll(ctx context.Context, report *report, system *system, follower *follower, loss loss) ([]time.Duration, error) {
+func (flags flags) injectAll(ctx context.Context, report *report, system *system, follower *follower, loss loss) ([]time.Duration, error) {
 	random := rand.New(rand.NewPCG(flags.Seed, 2))
 	var all []time.Duration
 	for range flags.Losses {
@@ -253,7 +253,7 @@
 			return nil, err
 		}
 		follower.take()
-		victim, mend, err := loss.strike(ctx, system, random)
+		victim, repair, err := loss.inject(ctx, system, random)
 		if err != nil {
 			return nil, err
 		}
@@ -268,7 +268,7 @@
 		report.add(line{Scenario: loss.name, Policy: "cuminstream", Phase: victim, Quantity: "unavailable", Value: longest.Seconds() * 1000, Unit: "ms", Seed: flags.Seed})
 		report.add(line{Scenario: loss.name, Policy: "cuminstream", Phase: victim, Quantity: "affected", Value: float64(affected), Unit: "keys", Seed: flags.Seed})
 		all = append(all, longest)
-		if err := mend(); err != nil {
+		if err := repair(); err != nil {
 			return nil, err
 		}
 		if vm >= 0 {
--- a/internal/starter/daemon.go
+++ b/internal/starter/daemon.go
@@ -53,7 +53,7 @@
 	Recorder  *timeliner.Recorder
 	Server    *linker.Server
 	Pool      *linker.Pool
-	Pulse     *pulse
+	Gossip    *gossip
 	Homer     *homer.Homer
 	Members   *members
 	Router    *router.Router
@@ -83,8 +83,8 @@
 	daemon.parts.Operator.Register(daemon.parts.Server)
 	daemon.parts.Exchange.register(daemon.parts.Server)
 	daemon.parts.Members.register(daemon.parts.Server)
-	daemon.parts.Pulse.register(daemon.parts.Server)
-	daemon.parts.Pulse.suspect = daemon.parts.Router.Suspect
+	daemon.parts.Gossip.register(daemon.parts.Server)
+	daemon.parts.Gossip.suspect = daemon.parts.Router.Suspect
 	ctx, cancel := context.WithCancel(context.Background())
 	daemon.cancel = cancel
 	daemon.group, ctx = errgroup.WithContext(ctx)
@@ -95,7 +95,7 @@
 	follower := &configurer.Follower{Objects: daemon.parts.Store, Store: daemon.parts.Documents, Recorder: daemon.parts.Recorder}
 	for name, part := range map[string]runner{
 		"store": daemon.parts.Store, "documents": follower, "pool": daemon.parts.Pool,
-		"heartbeats": daemon.parts.Pulse, "homes": daemon.parts.Homer, "groups": daemon.parts.Members,
+		"heartbeats": daemon.parts.Gossip, "homes": daemon.parts.Homer, "groups": daemon.parts.Members,
 	} {
 		daemon.run(ctx, name, part.Run)
 	}
@@ -170,7 +170,7 @@
 func (daemon *daemon) stop(ctx context.Context) error {
 	daemon.parts.Recorder.Record(timeliner.Event{Kind: "vmStopping"})
 	daemon.parts.Members.leave()
-	daemon.parts.Pulse.leave()
+	daemon.parts.Gossip.leave()
 	if err := clocker.Sleep(ctx, daemon.parts.Clock, daemon.parts.Settings.StopNotice); err != nil {
 		return fmt.Errorf("wait for the balancer: %w", err)
 	}
--- a/internal/starter/exchange.go
+++ b/internal/starter/exchange.go
@@ -43,7 +43,7 @@
 	for range maxFetches {
 		objects, err := exchange.fetch(ctx, vm)
 		if err != nil || len(objects) == 0 || len(exchange.store.Merge(objects)) == 0 {
-			return // news of any VM starts another exchange
+			return // a heartbeat of any VM starts another exchange
 		}
 	}
 }
--- a/internal/starter/pulse.go
+++ b/internal/starter/gossip.go
@@ -29,14 +29,14 @@
 	zoneWatchers = 2
 )
 
-// news is the payload of heartbeats.
-type news struct {
+// gossipPayload travels with heartbeats.
+type gossipPayload struct {
 	Digest uint64            `cbor:"digest"` // of the sender's objects
 	Held   map[string]uint64 `cbor:"held"`   // group -> term, of the groups that the sender serves
 }
 
-// pulse exchanges heartbeats with other VMs, and acts on what they tell.
-type pulse struct {
+// gossip exchanges heartbeats with other VMs, and acts on what they tell.
+type gossip struct {
 	settings  Settings
 	tracker   *tracker.Tracker
 	exchange  *exchange
@@ -63,40 +63,40 @@
 	pulls  chan struct{}
 }
 
-func newPulse(settings Settings, clock clocker.Clock, api platformer.API, tracked *tracker.Tracker, pool *linker.Pool,
+func newGossip(settings Settings, clock clocker.Clock, api platformer.API, tracked *tracker.Tracker, pool *linker.Pool,
 	exchange *exchange, places *locator.Locator, recorder *timeliner.Recorder,
-) (*pulse, error) {
+) (*gossip, error) {
 	seeds, err := settings.seeds()
 	if err != nil {
 		return nil, err
 	}
-	pulse := &pulse{
+	gossip := &gossip{
 		settings: settings, tracker: tracked, exchange: exchange, locator: places, recorder: recorder,
 		drop: pool.Drop, differ: map[string]uint64{}, counts: map[string]int{}, pulls: make(chan struct{}, 1),
 	}
-	pulse.heartbeat = &heartbeater.Heartbeater{
+	gossip.heartbeat = &heartbeater.Heartbeater{
 		Self: tracker.VM{
 			Name: settings.Name, Zone: settings.Zone, Address: settings.LinkAddress, Operator: settings.OperatorAddress,
 			Incarnation: uint64(clock.Now().UnixMilli()),
 		},
 		Tracker: tracked, Caller: pool, Clock: clock, Timing: settings.Timing(), Seeds: seeds,
-		Close: pulse.close, Leaving: pulse.leaving.Load, Payload: pulse.news, Receive: pulse.receive,
+		Close: gossip.close, Leaving: gossip.leaving.Load, Payload: gossip.payload, Receive: gossip.receive,
 		List: func(ctx context.Context) ([]platformer.VM, error) {
 			list, err := api.VMs(ctx)
-			pulse.listed.Store(err == nil)
+			gossip.listed.Store(err == nil)
 			if err != nil {
 				return nil, err
 			}
-			return pulse.split(list), nil
+			return gossip.split(list), nil
 		},
 	}
-	return pulse, nil
+	return gossip, nil
 }
 
 // split returns the entry VMs of the platform's list, and tells the dispatchers
 // which VMs of upstreams leave. Those have no link address; their name is that
 // of the upstream.
-func (pulse *pulse) split(list []platformer.VM) []platformer.VM {
+func (gossip *gossip) split(list []platformer.VM) []platformer.VM {
 	var entries []platformer.VM
 	leaving := []string{}
 	for _, vm := range list {
@@ -107,18 +107,18 @@
 			leaving = append(leaving, vm.Name)
 		}
 	}
-	pulse.upstreamsLeave(leaving)
+	gossip.upstreamsLeave(leaving)
 	return entries
 }
 
-func (pulse *pulse) register(registrar linker.Registrar) { pulse.heartbeat.Register(registrar) }
+func (gossip *gossip) register(registrar linker.Registrar) { gossip.heartbeat.Register(registrar) }
 
 // leave tells the other VMs that this one is about to stop.
-func (pulse *pulse) leave() { pulse.leaving.Store(true) }
+func (gossip *gossip) leave() { gossip.leaving.Store(true) }
 
 // peers returns the names of the other VMs that are not gone.
-func (pulse *pulse) peers() []string {
-	members := pulse.tracker.Peers("")
+func (gossip *gossip) peers() []string {
+	members := gossip.tracker.Peers("")
 	names := make([]string, len(members))
 	for index, member := range members {
 		names[index] = member.Name
@@ -128,76 +128,76 @@
 
 // close returns the VMs that share a group with this one, or all VMs of a small
 // fleet.
-func (pulse *pulse) close() []string {
-	if names := pulse.peers(); len(names) < smallFleet {
+func (gossip *gossip) close() []string {
+	if names := gossip.peers(); len(names) < smallFleet {
 		return names
 	}
 	shared := map[string]bool{}
-	for _, record := range pulse.records() {
+	for _, record := range gossip.records() {
 		for _, vm := range slices.Concat(record.Candidates, record.Previous) {
 			shared[vm] = true
 		}
 	}
-	delete(shared, pulse.settings.Name)
+	delete(shared, gossip.settings.Name)
 	return slices.Collect(maps.Keys(shared))
 }
 
 // before returns how many live VMs of the zone, or of all zones when it is
 // empty, come before this one in the order of their names.
-func (pulse *pulse) before(zone string) int {
+func (gossip *gossip) before(zone string) int {
 	place := 0
-	for _, member := range pulse.tracker.Peers(zone) {
-		if member.State == tracker.Alive && member.Name < pulse.settings.Name {
+	for _, member := range gossip.tracker.Peers(zone) {
+		if member.State == tracker.Alive && member.Name < gossip.settings.Name {
 			place++
 		}
 	}
 	return place
 }
 
-func (pulse *pulse) turn() int { return pulse.before("") }
+func (gossip *gossip) turn() int { return gossip.before("") }
 
 // watches reports whether this VM is one of the watchers of its zone.
-func (pulse *pulse) watches() bool { return pulse.before(pulse.settings.Zone) < zoneWatchers }
+func (gossip *gossip) watches() bool { return gossip.before(gossip.settings.Zone) < zoneWatchers }
 
-func (pulse *pulse) news() any {
-	return news{Digest: pulse.exchange.store.Digest(), Held: pulse.held()}
+func (gossip *gossip) payload() any {
+	return gossipPayload{Digest: gossip.exchange.store.Digest(), Held: gossip.held()}
 }
 
-// receive takes over the news of another VM.
-func (pulse *pulse) receive(from string, decode func(any) error) {
-	var received news
+// receive takes over what another VM tells.
+func (gossip *gossip) receive(from string, decode func(any) error) {
+	var received gossipPayload
 	if decode(&received) != nil {
 		return
 	}
 	for group, term := range received.Held {
-		pulse.locator.SetHolder(group, from, term)
+		gossip.locator.SetHolder(group, from, term)
 	}
-	pulse.mutex.Lock()
-	pulse.differ[from] = received.Digest
-	pulse.counts[from] = len(received.Held)
-	pulse.mutex.Unlock()
+	gossip.mutex.Lock()
+	gossip.differ[from] = received.Digest
+	gossip.counts[from] = len(received.Held)
+	gossip.mutex.Unlock()
 	select {
-	case pulse.pulls <- struct{}{}:
+	case gossip.pulls <- struct{}{}:
 	default:
 	}
 }
 
 // count returns the number of groups that the VM last reported to serve.
-func (pulse *pulse) count(vm string) (int, bool) {
-	pulse.mutex.Lock()
-	defer pulse.mutex.Unlock()
-	count, ok := pulse.counts[vm]
+func (gossip *gossip) count(vm string) (int, bool) {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	count, ok := gossip.counts[vm]
 	return count, ok
 }
 
 // behind returns a VM whose objects differ from this VM's, and forgets the VMs
 // that have the same.
-func (pulse *pulse) behind() (string, bool) {
-	digest := pulse.exchange.store.Digest()
-	pulse.mutex.Lock()
-	defer pulse.mutex.Unlock()
-	for vm, other := range pulse.differ {
-		delete(pulse.differ, vm)
+func (gossip *gossip) behind() (string, bool) {
+	digest := gossip.exchange.store.Digest()
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	for vm, other := range gossip.differ {
+		delete(gossip.differ, vm)
 		if other != digest {
 			return vm, true
 		}
@@ -206,26 +206,26 @@
 }
 
 // pull fetches newer objects from the VMs whose digest differs.
-func (pulse *pulse) pull(ctx context.Context) error {
+func (gossip *gossip) pull(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-pulse.pulls:
+		case <-gossip.pulls:
 		}
-		for vm, found := pulse.behind(); found; vm, found = pulse.behind() {
-			pulse.exchange.pull(ctx, vm)
+		for vm, found := gossip.behind(); found; vm, found = gossip.behind() {
+			gossip.exchange.pull(ctx, vm)
 		}
 	}
 }
 
 // Run exchanges heartbeats until ctx is done.
-func (pulse *pulse) Run(ctx context.Context) error {
-	cancel := pulse.tracker.Listen(pulse.changed)
+func (gossip *gossip) Run(ctx context.Context) error {
+	cancel := gossip.tracker.Listen(gossip.changed)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return pulse.heartbeat.Run(ctx) })
-	group.Go(func() error { return pulse.pull(ctx) })
+	group.Go(func() error { return gossip.heartbeat.Run(ctx) })
+	group.Go(func() error { return gossip.pull(ctx) })
 	if err := group.Wait(); err != nil {
 		return fmt.Errorf("heartbeats: %w", err)
 	}
@@ -233,19 +233,19 @@
 }
 
 // changed notes the transitions of other VMs.
-func (pulse *pulse) changed(change tracker.Change) {
+func (gossip *gossip) changed(change tracker.Change) {
 	if change.Restarted() || change.After.State == tracker.Suspected || change.After.State == tracker.Gone {
-		pulse.suspect(change.After.Name)
+		gossip.suspect(change.After.Name)
 	}
 	if change.Restarted() || change.After.State == tracker.Gone {
-		pulse.drop(change.After.Name)
+		gossip.drop(change.After.Name)
 	}
 	detail := change.After.Name + " is " + change.After.State.String()
 	if change.Restarted() {
 		detail = change.After.Name + " was restarted"
 	}
 	if change.Restarted() || change.Before.State != change.After.State || change.Before.Name == "" {
-		pulse.recorder.Record(timeliner.Event{Kind: "vmStateChanged", Detail: detail})
+		gossip.recorder.Record(timeliner.Event{Kind: "vmStateChanged", Detail: detail})
 	}
 }
 
--- a/internal/starter/members.go
+++ b/internal/starter/members.go
@@ -45,7 +45,7 @@
 	registry  *router.Registry
 	upstreams *upstreamer.Client
 	recorder  *timeliner.Recorder
-	pulse     *pulse
+	gossip    *gossip
 	pool      *linker.Pool
 	metrics   *prometheus.Registry
 	manager   *replicator.Manager
@@ -82,7 +82,7 @@
 	Registry  *router.Registry
 	Upstreams *upstreamer.Client
 	Recorder  *timeliner.Recorder
-	Pulse     *pulse
+	Gossip    *gossip
 	Metrics   *prometheus.Registry
 }
 
@@ -90,7 +90,7 @@
 	members := &members{
 		settings: parts.Settings, clock: parts.Clock, store: parts.Store, documents: parts.Documents, tracker: parts.Tracker,
 		locator: parts.Locator, registry: parts.Registry, upstreams: parts.Upstreams, recorder: parts.Recorder,
-		pulse: parts.Pulse, pool: parts.Pool, metrics: parts.Metrics, served: map[string]*member{},
+		gossip: parts.Gossip, pool: parts.Pool, metrics: parts.Metrics, served: map[string]*member{},
 	}
 	members.manager = &replicator.Manager{
 		VM: parts.Settings.Name, Clock: parts.Clock, Timing: parts.Settings.Timing(), Caller: parts.Pool,
@@ -98,8 +98,8 @@
 		Liveness: liveness{tracker: parts.Tracker, clock: parts.Clock, name: parts.Settings.Name, zone: parts.Settings.Zone},
 		Recorder: parts.Recorder, Specs: members.specs, Newest: members.newest, Member: members.begin,
 	}
-	parts.Pulse.held, parts.Pulse.records, parts.Pulse.upstreamsLeave = members.held, members.records, members.upstreamsLeave
-	parts.Store.Watches = parts.Pulse.watches
+	parts.Gossip.held, parts.Gossip.records, parts.Gossip.upstreamsLeave = members.held, members.records, members.upstreamsLeave
+	parts.Store.Watches = parts.Gossip.watches
 	return members
 }
 
@@ -364,7 +364,7 @@
 	if planned == members.planned.Swap(planned) {
 		return
 	}
-	members.pulse.leaving.Store(planned)
+	members.gossip.leaving.Store(planned)
 	if !planned {
 		members.recorder.Record(timeliner.Event{Kind: "vmDrainCancelled"})
 		members.manager.Resume()
--- a/internal/starter/parts.go
+++ b/internal/starter/parts.go
@@ -31,7 +31,7 @@
 		fx.Provide(
 			func() clocker.Clock { return clocker.System{} },
 			newRegistry, newRecorder, newPlatform, newStore, newTracker, newServer, newPool, newHomer, newUpstreams,
-			newRouter, newOperator, newMembers, newPulse, newDaemon,
+			newRouter, newOperator, newMembers, newGossip, newDaemon,
 			func(store *syncer.Store, pool *linker.Pool, clock clocker.Clock) *exchange {
 				return newExchange(store, pool, clock)
 			},
@@ -111,11 +111,11 @@
 	return !known || directory.Alive(vm)
 }
 
-func newHomer(clock clocker.Clock, store *syncer.Store, documents *configurer.Store, pulse *pulse, members *members,
+func newHomer(clock clocker.Clock, store *syncer.Store, documents *configurer.Store, gossip *gossip, members *members,
 	recorder *timeliner.Recorder,
 ) *homer.Homer {
 	return &homer.Homer{
-		Clock: clock, Objects: store, Document: documents.Document, Turn: pulse.turn, Groups: members, Recorder: recorder,
+		Clock: clock, Objects: store, Document: documents.Document, Turn: gossip.turn, Groups: members, Recorder: recorder,
 	}
 }
 
@@ -141,9 +141,9 @@
 	}
 }
 
-func newOperator(settings Settings, members *members, pulse *pulse, recorder *timeliner.Recorder, pool *linker.Pool, registry *prometheus.Registry) *operator.Server {
+func newOperator(settings Settings, members *members, gossip *gossip, recorder *timeliner.Recorder, pool *linker.Pool, registry *prometheus.Registry) *operator.Server {
 	return &operator.Server{
-		VM: settings.Name, Status: members.status, Owners: members.owners, Peers: pulse.peers, Ready: members.ready,
+		VM: settings.Name, Status: members.status, Owners: members.owners, Peers: gossip.peers, Ready: members.ready,
 		Recorder: recorder, Caller: pool, Gatherer: registry,
 	}
 }
--- a/internal/starter/report.go
+++ b/internal/starter/report.go
@@ -15,7 +15,7 @@
 		VM: members.settings.Name, Zone: members.settings.Zone, Time: members.clock.Now(), Stopping: members.stopping.Load(),
 		Revision: members.documents.Document().Revision, Platform: "unreachable", Refusals: map[string]float64{},
 	}
-	if members.pulse.listed.Load() {
+	if members.gossip.listed.Load() {
 		status.Platform = "reachable"
 	}
 	for _, peer := range members.tracker.Peers("") {
--- a/internal/starter/spread.go
+++ b/internal/starter/spread.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		for _, candidate := range group.Newest().Candidates {
-			count, known := members.pulse.count(candidate)
+			count, known := members.gossip.count(candidate)
 			if known && count+spreadExcess <= len(held) && members.eligible(candidate) {
 				return group, candidate, true
 			}
