Keep requests for different owners in lines of their own

Cause: every decision of a broker looked at all waiting requests, found the owners of all their keys anew and, without keys, tried every upstream for each of them. Change: requests wait in one line for each owner of keys; a request or a free slot concerns one line. The owner of a request's key is confirmed before the slot is given. Without keys, upstreams without a free slot are left out once. Conclusion: the cost of a decision no longer grows with the queue of others.

--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -31,7 +31,7 @@
 	if ask.Fingerprint != 0 && broker.suspects.Losses(ask.Fingerprint) >= maxLosses {
 		return refuse(Suspect, suspectRetryAfter)
 	}
-	wait, work, ok := broker.estimate(ask, now)
+	wait, work, ok := broker.estimate(waiter, now)
 	if !ok {
 		return refuse(Unavailable, time.Second)
 	}
@@ -43,33 +43,38 @@
 	}
 	// Requests in time go first, so that a late one also waits for those that
 	// will arrive meanwhile.
-	use := broker.use(ask, broker.owner(ask), now)
+	use := broker.use(ask, waiter.owner, now)
 	if late := wait / max(1-use, 0.01); use > saturation || late+work > lateShare*left {
 		return refuse(Overloaded, duration(wait))
 	}
 	return Decision{}, false
 }
 
-// shed refuses waiting requests that can no longer be answered in time while
+// shed refuses requests of the line that can no longer be answered in time while
 // more work is offered than can be done: those in time go first, so that the
 // others would only wait for their time limit.
-func (broker *Broker) shed(now time.Time) {
-	kept := broker.waiting[:0]
-	for _, waiter := range broker.waiting {
-		if !now.After(waiter.arrived.Add(waiter.ask.Target)) || broker.use(waiter.ask, waiter.owner, now) <= saturation {
+func (broker *Broker) shed(line *line, now time.Time) {
+	if len(line.waiting) == 0 || broker.use(line.waiting[0].ask, line.waiting[0].owner, now) <= saturation {
+		return
+	}
+	kept := line.waiting[:0]
+	for _, waiter := range line.waiting {
+		if !now.After(waiter.arrived.Add(waiter.ask.Target)) {
 			kept = append(kept, waiter)
 			continue
 		}
 		waited := now.Sub(waiter.arrived)
+		waiter.line = nil
+		broker.count--
 		waiter.Decided <- Decision{Refused: Overloaded, RetryAfter: broker.spread(waited), Waited: waited, Queue: waiter.queue}
 	}
-	clear(broker.waiting[len(kept):])
-	broker.waiting = kept
+	clear(line.waiting[len(kept):])
+	line.waiting = kept
 }
 
 // owner returns the owner of the request's key.
 func (broker *Broker) owner(ask Ask) Ownership {
-	if ask.Key == NoKey || broker.Owners == nil {
+	if !broker.keyed(ask) {
 		return Ownership{}
 	}
 	return broker.Owners.Owner(ask.Key)
@@ -78,7 +83,7 @@
 // use returns the offered work as a share of what the upstreams that can serve
 // the request do.
 func (broker *Broker) use(ask Ask, owner Ownership, now time.Time) float64 {
-	if ask.Key != NoKey && broker.Owners != nil {
+	if broker.keyed(ask) {
 		upstream := broker.upstreams[owner.Upstream]
 		if upstream == nil {
 			return 1
@@ -90,9 +95,10 @@
 
 // estimate returns the expected seconds in the queue and at the upstream. ok is
 // false when no upstream can serve the request.
-func (broker *Broker) estimate(ask Ask, now time.Time) (wait, work float64, ok bool) {
-	if ask.Key != NoKey && broker.Owners != nil {
-		return broker.estimateKey(ask, now)
+func (broker *Broker) estimate(waiter *Waiter, now time.Time) (wait, work float64, ok bool) {
+	ask := waiter.ask
+	if broker.keyed(ask) {
+		return broker.estimateKey(waiter, now)
 	}
 	slots, free, rate := 0, 0, 0.0
 	for _, upstream := range broker.upstreams {
@@ -107,20 +113,29 @@
 		return 0, 0, false
 	}
 	work = float64(slots) / rate
-	ahead := 0
-	for _, waiter := range broker.waiting {
-		if waiter.ask.Rank <= ask.Rank {
-			ahead++
-		}
-	}
+	ahead := broker.ahead(unowned, ask.Rank)
 	if free > ahead {
 		return 0, work, true
 	}
 	return float64(ahead-free+1) / rate, work, true
 }
 
-func (broker *Broker) estimateKey(ask Ask, now time.Time) (wait, work float64, ok bool) {
-	ownership := broker.Owners.Owner(ask.Key)
+// ahead counts the requests in the owner's line that go before those of the rank.
+func (broker *Broker) ahead(owner string, rank int) int {
+	line, count := broker.lines[owner], 0
+	if line == nil {
+		return 0
+	}
+	for _, waiter := range line.waiting {
+		if waiter.ask.Rank <= rank {
+			count++
+		}
+	}
+	return count
+}
+
+func (broker *Broker) estimateKey(waiter *Waiter, now time.Time) (wait, work float64, ok bool) {
+	ask, ownership := waiter.ask, waiter.owner
 	upstream := broker.upstreams[ownership.Upstream]
 	switch {
 	case upstream == nil, !ownership.Held && !ownership.Soon:
@@ -128,12 +143,7 @@
 	case now.Before(upstream.unreachable[ask.VM]), slices.Contains(ask.Exclude, upstream.ID), broker.isCut(ask.Zone, upstream, now):
 		return 0, 0, false
 	}
-	ahead := 0
-	for _, waiter := range broker.waiting {
-		if waiter.ask.Rank <= ask.Rank && waiter.owner.Upstream == upstream.ID {
-			ahead++
-		}
-	}
+	ahead := broker.ahead(upstream.ID, ask.Rank)
 	work = upstream.expected()
 	if free := upstream.free(); free > ahead {
 		return 0, work, true
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -25,16 +24,17 @@
 
 	mutex     sync.Mutex
 	upstreams map[string]*upstream
-	waiting   []*Waiter // in the order of arrival
+	lines     map[string]*line // by owner; all requests without a key wait in one line
+	count     int              // requests that wait
 	tickets   map[uint64]*ticket
 	paths     map[route]path
-	queued    map[string]int // requests that wait for the owner of their key
 	last      uint64
 	swept     time.Time
 	offered   meter // seconds of work that arrive
 	suspects  *suspecter.Table
 	fast      keyMeter
 	slow      keyMeter
+	scratch   []*upstream // reused by open
 }
 
 // ticket is the use of a slot.
@@ -55,6 +55,7 @@
 	arrived time.Time
 	queue   int       // requests that waited when it arrived
 	owner   Ownership // of its key, at the last look
+	line    *line     // nil while it does not wait
 }
 
 const (
@@ -70,7 +71,7 @@
 		broker.upstreams = map[string]*upstream{}
 		broker.tickets = map[uint64]*ticket{}
 		broker.paths = map[route]path{}
-		broker.queued = map[string]int{}
+		broker.lines = map[string]*line{}
 		broker.suspects = suspecter.New(broker.Clock, suspectWindow)
 		broker.fast.halfLife, broker.slow.halfLife = fastHalfLife, slowHalfLife
 		if broker.Random == nil {
@@ -99,7 +100,7 @@
 		known[info.ID] = old
 	}
 	broker.upstreams = known
-	broker.dispatch(now)
+	broker.dispatchAll(now)
 }
 
 // SetBudget replaces the budget of repeats.
@@ -116,24 +117,27 @@
 	defer broker.mutex.Unlock()
 	broker.init()
 	now := broker.Clock.Now()
-	waiter := &Waiter{Decided: make(chan Decision, 1), ask: ask, arrived: now, queue: len(broker.waiting)}
-	broker.count(ask, now)
+	waiter := &Waiter{Decided: make(chan Decision, 1), ask: ask, arrived: now, queue: broker.count, owner: broker.owner(ask)}
+	broker.measure(waiter, now)
 	if refusal, refused := broker.admit(waiter, now); refused {
 		waiter.Decided <- refusal
 		return waiter
 	}
-	broker.waiting = append(broker.waiting, waiter)
-	broker.dispatch(now)
+	broker.join(waiter)
+	broker.sweep(now)
+	broker.dispatch(waiter.line, now)
 	return waiter
 }
 
-func (broker *Broker) count(ask Ask, now time.Time) {
+// measure counts the request in the rates.
+func (broker *Broker) measure(waiter *Waiter, now time.Time) {
+	ask := waiter.ask
 	if !ask.Repeat && broker.Budget != nil {
 		broker.Budget.Request()
 	}
 	broker.offered.add(now, broker.meanWork())
-	if ask.Key != NoKey && broker.Owners != nil {
-		if upstream := broker.upstreams[broker.Owners.Owner(ask.Key).Upstream]; upstream != nil {
+	if broker.keyed(ask) {
+		if upstream := broker.upstreams[waiter.owner.Upstream]; upstream != nil {
 			upstream.offered.add(now, upstream.work)
 		}
 	}
@@ -148,8 +152,8 @@
 func (broker *Broker) Cancel(waiter *Waiter) bool {
 	broker.mutex.Lock()
 	defer broker.mutex.Unlock()
-	if i := slices.Index(broker.waiting, waiter); i >= 0 {
-		broker.waiting = slices.Delete(broker.waiting, i, i+1)
+	if waiter.line != nil {
+		broker.leave(waiter)
 		return true
 	}
 	select {
@@ -178,7 +182,11 @@
 	used.upstream.note(used.vm, result, now)
 	broker.noteRoute(used.zone, used.upstream, result.Outcome, now)
 	broker.noteRun(used.upstream, used.fingerprint, result.Outcome, now)
-	broker.dispatch(now)
+	broker.sweep(now)
+	if broker.Owners != nil {
+		broker.dispatch(broker.lines[used.upstream.ID], now)
+	}
+	broker.dispatch(broker.lines[unowned], now)
 }
 
 // Observe records the result of a request of a VM whose slot another broker
@@ -205,7 +213,7 @@
 			delete(upstream.foreign, vm)
 		}
 	}
-	broker.dispatch(broker.Clock.Now())
+	broker.dispatchAll(broker.Clock.Now())
 }
 
 // Forget frees the slots of a VM that is lost.
@@ -221,7 +229,7 @@
 	for _, upstream := range broker.upstreams {
 		delete(upstream.foreign, vm)
 	}
-	broker.dispatch(broker.Clock.Now())
+	broker.dispatchAll(broker.Clock.Now())
 }
 
 // InUse returns the slots that this broker has assigned, by upstream.
@@ -240,7 +248,7 @@
 	broker.mutex.Lock()
 	defer broker.mutex.Unlock()
 	broker.init()
-	broker.dispatch(broker.Clock.Now())
+	broker.dispatchAll(broker.Clock.Now())
 }
 
 // meanWork returns the mean seconds of one request over all upstreams.
--- a/pkg/broker/broker_test.go
+++ b/pkg/broker/broker_test.go
@@ -340,26 +340,37 @@
 // The cost of a decision while many requests wait: a broker that needs more than
 // its processor falls behind, and the VMs stop asking it.
 func BenchmarkSaturatedBroker(b *testing.B) {
-	owned := owners{}
-	for key := range 1000 {
-		owned[key] = broker.Ownership{Upstream: fmt.Sprint("u", key%16), Held: true}
-	}
-	served := &broker.Broker{Service: "s", Clock: clocker.System{}, Owners: owned}
-	served.SetUpstreams(upstreams(16, 3))
-	keyed := func(i int) broker.Ask {
-		made := ask(1)
-		made.Key, made.Target, made.Left = i%1000, time.Hour, time.Hour
-		return made
+	for _, size := range []struct{ upstreams, waiting int }{{16, 300}, {129, 600}} {
+		b.Run(fmt.Sprint(size.upstreams, " upstreams, ", size.waiting, " waiting"), func(b *testing.B) {
+			owned := &countingOwners{upstreams: size.upstreams}
+			served := &broker.Broker{Service: "s", Clock: clocker.System{}, Owners: owned}
+			served.SetUpstreams(upstreams(size.upstreams, 3))
+			keyed := func(i int) broker.Ask { return patient(i % 1000) }
+			for i := range size.waiting + 3*size.upstreams {
+				served.Ask(keyed(i))
+			}
+			for i := 0; b.Loop(); i++ {
+				waiter := served.Ask(keyed(i))
+				if decision, ok := decided(waiter); ok {
+					served.Done(broker.Result{Ticket: decision.Ticket, Outcome: broker.Served, Elapsed: time.Millisecond})
+				} else {
+					served.Cancel(waiter)
+				}
+			}
+		})
 	}
-	for i := range 300 {
-		served.Ask(keyed(i))
+}
+
+// The same for a service without keys, whose requests all wait in one line.
+func BenchmarkSaturatedBrokerWithoutKeys(b *testing.B) {
+	served := &broker.Broker{Service: "s", Clock: clocker.System{}}
+	served.SetUpstreams(upstreams(80, 3))
+	made := ask(1)
+	made.Target, made.Left = time.Hour, time.Hour
+	for range 300 + 3*80 {
+		served.Ask(made)
 	}
-	for i := 0; b.Loop(); i++ {
-		waiter := served.Ask(keyed(i))
-		if decision, ok := decided(waiter); ok {
-			served.Done(broker.Result{Ticket: decision.Ticket, Outcome: broker.Served, Elapsed: time.Millisecond})
-		} else {
-			served.Cancel(waiter)
-		}
+	for b.Loop() {
+		served.Cancel(served.Ask(made))
 	}
 }
--- a/pkg/broker/dispatch.go
+++ b/pkg/broker/dispatch.go
@@ -17,50 +17,82 @@
 	failureCost = 8
 )
 
-// dispatch assigns free slots until no waiting request can get one.
-func (broker *Broker) dispatch(now time.Time) {
+// dispatchAll looks the owners of all waiting requests up again and assigns free
+// slots.
+func (broker *Broker) dispatchAll(now time.Time) {
 	broker.sweep(now)
-	broker.shed(now)
 	broker.look()
-	for len(broker.waiting) > 0 {
-		index, chosen := broker.next(now)
+	for _, line := range broker.lines {
+		broker.dispatch(line, now)
+	}
+}
+
+// dispatch assigns free slots until no request of the line can get one.
+func (broker *Broker) dispatch(line *line, now time.Time) {
+	if line == nil {
+		return
+	}
+	broker.shed(line, now)
+	for len(line.waiting) > 0 {
+		waiter, chosen := broker.next(line, now)
 		if chosen == nil {
 			return
 		}
-		waiter := broker.waiting[index]
-		broker.waiting = slices.Delete(broker.waiting, index, index+1)
-		if waiter.ask.Key != NoKey {
-			broker.queued[waiter.owner.Upstream]--
+		if broker.keyed(waiter.ask) && !broker.confirm(waiter) {
+			continue
 		}
+		broker.leave(waiter)
 		broker.assign(waiter, chosen, now)
 	}
 }
 
-// look finds the owner of each waiting request's key once, and counts the
-// requests that wait for each owner.
-func (broker *Broker) look() {
-	clear(broker.queued)
-	for _, waiter := range broker.waiting {
-		if waiter.ask.Key == NoKey || broker.Owners == nil {
-			continue
-		}
-		waiter.owner = broker.Owners.Owner(waiter.ask.Key)
-		broker.queued[waiter.owner.Upstream]++
+// confirm looks the owner of the request's key up again, which may have changed
+// since the last look at all requests. It reports whether the owner is the same.
+func (broker *Broker) confirm(waiter *Waiter) bool {
+	owner := broker.Owners.Owner(waiter.ask.Key)
+	if owner.Upstream != waiter.owner.Upstream {
+		broker.leave(waiter)
+		waiter.owner = owner
+		broker.join(waiter) // the other line gets its turn with the next change
+		return false
 	}
+	waiter.owner = owner
+	return owner.Held
 }
 
-// next returns the most important waiting request that can run, and where.
-func (broker *Broker) next(now time.Time) (index int, chosen *upstream) {
-	var best *Waiter
-	for i, waiter := range broker.waiting {
+// next returns the most important request of the line that can run, and where.
+func (broker *Broker) next(line *line, now time.Time) (best *Waiter, chosen *upstream) {
+	free := broker.open(line, now)
+	if len(free) == 0 {
+		return nil, nil
+	}
+	for _, waiter := range line.waiting {
 		if best != nil && !before(waiter, best, now) {
 			continue
 		}
-		if upstream := broker.choose(waiter, now); upstream != nil {
-			index, chosen, best = i, upstream, waiter
+		if upstream := broker.choose(waiter, free, now); upstream != nil {
+			best, chosen = waiter, upstream
 		}
 	}
-	return index, chosen
+	return best, chosen
+}
+
+// open returns the upstreams that have a slot for requests of the line.
+func (broker *Broker) open(line *line, now time.Time) []*upstream {
+	broker.scratch = broker.scratch[:0]
+	if line.owner != unowned {
+		owner := broker.upstreams[line.owner]
+		if owner != nil && owner.room(len(line.waiting)) > 0 && !now.Before(owner.pausedUntil) {
+			broker.scratch = append(broker.scratch, owner)
+		}
+		return broker.scratch
+	}
+	for _, upstream := range broker.upstreams {
+		if !upstream.Draining && upstream.free() > 0 && !now.Before(upstream.pausedUntil) {
+			broker.scratch = append(broker.scratch, upstream)
+		}
+	}
+	return broker.scratch
 }
 
 // before reports whether a runs before b. Requests that can still be answered
@@ -81,20 +113,17 @@
 	}
 }
 
-// choose returns the upstream with a free slot that serves the request best.
-func (broker *Broker) choose(waiter *Waiter, now time.Time) *upstream {
+// choose returns the upstream among those with a slot that serves the request
+// best.
+func (broker *Broker) choose(waiter *Waiter, free []*upstream, now time.Time) *upstream {
 	ask := waiter.ask
-	if ask.Key != NoKey && broker.Owners != nil {
-		upstream := broker.upstreams[waiter.owner.Upstream]
-		if upstream == nil || !waiter.owner.Held || upstream.room(broker.queued[upstream.ID]) <= 0 || !broker.allowed(upstream, ask, now) {
-			return nil
-		}
-		return upstream
+	if broker.keyed(ask) && !waiter.owner.Held {
+		return nil
 	}
 	var best *upstream
 	bestCost := 0.0
-	for _, upstream := range broker.upstreams {
-		if upstream.Draining || upstream.free() <= 0 || !broker.allowed(upstream, ask, now) {
+	for _, upstream := range free {
+		if !broker.allowed(upstream, ask, now) {
 			continue
 		}
 		cost := upstream.cost(ask)
--- a/pkg/broker/wait.go
+++ b/pkg/broker/wait.go
@@ -41,5 +41,5 @@
 func (broker *Broker) Waiting() int {
 	broker.mutex.Lock()
 	defer broker.mutex.Unlock()
-	return len(broker.waiting)
+	return broker.count
 }
