Do not list again for deletions that lists do not show

Cause: VMs compare the revisions of the newest changes that they have received, and list a kind again when another VM knows a newer one. Change: a list also counts up to the revision of the store at which it was made. Watches do not: one that has lost changes may return too high a revision.

--- a/internal/storer/follower.go
+++ b/internal/storer/follower.go
@@ -39,6 +39,9 @@
 
 	mutex    sync.Mutex
 	revision uint64 // of the newest change
+	// complete is the revision of the store at the last list. Lists do not show
+	// deletions, so that it may be above that of the newest change.
+	complete uint64
 	kicked   bool
 	cancel   context.CancelFunc
 	kickedAt time.Time
@@ -73,7 +76,7 @@
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	now := follower.Clock.Now()
-	if revision <= follower.revision || follower.cancel == nil || now.Sub(follower.kickedAt) < kickInterval {
+	if revision <= max(follower.revision, follower.complete) || follower.cancel == nil || now.Sub(follower.kickedAt) < kickInterval {
 		return
 	}
 	follower.Log.Info("watch is behind other VMs", "kind", follower.Kind, "revision", follower.revision, "others", revision)
@@ -107,6 +110,13 @@
 	}
 }
 
+// completed records that a list misses nothing up to the revision of the store.
+func (follower *Follower) completed(at uint64) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.complete = max(follower.complete, at)
+}
+
 // saw records the revision of a change.
 func (follower *Follower) saw(revision uint64) {
 	follower.mutex.Lock()
@@ -188,6 +198,7 @@
 			follower.saw(object.Revision)
 		}
 		follower.Listed(objects)
+		follower.completed(next)
 		return next, nil
 	}
 	if follower.Poll != nil && follower.Poll() {
--- a/internal/storer/follower_test.go
+++ b/internal/storer/follower_test.go
@@ -193,3 +193,50 @@
 		store.set(func() { assert.Assert(t, store.calls <= 5, "%d calls", store.calls) })
 	})
 }
+
+// deletions is a store whose newest change is a deletion, which lists do not show.
+type deletions struct {
+	storer.Store
+	calls atomic.Int32
+}
+
+func (store *deletions) List(context.Context, string) ([]storer.Object, uint64, error) {
+	store.calls.Add(1)
+	return []storer.Object{{Name: "main", Revision: 378}}, 400, nil
+}
+
+func (store *deletions) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+	store.calls.Add(1)
+	select {
+	case <-time.After(wait):
+		return nil, 400, nil
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// On lochside-gw-grown, an upstream that had gone made each VM list all upstreams
+// anew with every report: others had received the deletion, which no list shows.
+func TestDeletionBeforeTheListIsNotMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &deletions{}
+		follower := &storer.Follower{
+			Store: store, Kind: "servers", Clock: clocker.System{}, Log: slog.New(slog.DiscardHandler),
+			Listed: func([]storer.Object) {}, Changed: func(storer.Change) {},
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = follower.Run(ctx) }()
+		time.Sleep(time.Second)
+		for range 10 {
+			follower.Behind(388)
+			time.Sleep(400 * time.Millisecond)
+		}
+		assert.Equal(t, store.calls.Load(), int32(2), "calls of the store")
+		follower.Behind(401)
+		time.Sleep(400 * time.Millisecond)
+		assert.Equal(t, store.calls.Load(), int32(4), "a change after the list is missed")
+		stop()
+		synctest.Wait()
+	})
+}
