Pass changes of the store on from brokers to the other VMs

Ruled out: one more process that watches for all (no machine is set aside); longer pauses between watches (changes would be late). Change: brokers answer reports, which VMs send every 0.4 s anyway, with the changes that the VM misses. A VM that is no broker does not watch while the one broker that lists at short intervals proves by the age of its list that it is up to date; otherwise it watches, as before. Large changes are read from the store. A list or a watch that is older than what was passed on does not undo it. Outages of the store are passed on too, so that lapsed entries get their two seconds to return.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -47,7 +47,8 @@
 	Peers   Peers
 	Members Members
 	Granter keeper.Granter
-	// Followers are told when other VMs have received newer changes.
+	// Followers are told when other VMs have received newer changes. All VMs have
+	// them in the same order.
 	Followers []*storer.Follower
 
 	mutex     sync.Mutex
@@ -72,6 +73,7 @@
 	leads     map[string]uint64 // what it said to lead, with the term
 	said      time.Time         // when it said so
 	storeLost time.Duration     // for how long it said not to have reached the store
+	listedAgo time.Duration     // how old it said its lists are; 0 when it does not list
 }
 
 const (
@@ -344,14 +346,6 @@
 	return longest
 }
 
-// CanAsk reports whether other VMs are the brokers of all services and answer.
-func (allocator *Allocator) CanAsk() bool {
-	return !slices.ContainsFunc(allocator.all(), func(service *service) bool {
-		vm, _ := service.brokerVM()
-		return vm == "" || vm == allocator.VM || !allocator.answers(vm)
-	})
-}
-
 // Polls reports whether this VM polls the store for all: the broker of the first
 // service does.
 func (allocator *Allocator) Polls() bool {
--- a/internal/allocator/calls.go
+++ b/internal/allocator/calls.go
@@ -52,8 +52,11 @@
 	allocator.mutex.Lock()
 	allocator.peer(from).heard = allocator.Clock.Now()
 	allocator.mutex.Unlock()
-	allocator.compare(message.Revisions)
-	answer := reportAnswer{Leads: map[string]uint64{}, Revisions: allocator.revisions(), StoreLost: allocator.storeLost()}
+	allocator.compare(message.Newest)
+	answer := reportAnswer{
+		Leads: map[string]uint64{}, Newest: allocator.newest(), Changes: allocator.changesAfter(message.Complete), StoreLost: allocator.storeLost(),
+		ListedAgo: allocator.listedAgo(), RegainedAgo: allocator.regainedAgo(),
+	}
 	for _, service := range allocator.all() {
 		if term, ok := service.leads(); ok {
 			answer.Leads[service.name] = term
@@ -92,22 +95,6 @@
 	return answer, nil
 }
 
-// revisions returns the newest changes that this VM has received, by kind.
-func (allocator *Allocator) revisions() map[string]uint64 {
-	revisions := make(map[string]uint64, len(allocator.Followers))
-	for _, follower := range allocator.Followers {
-		revisions[follower.Kind] = follower.Revision()
-	}
-	return revisions
-}
-
-// compare tells the followers what another VM has received.
-func (allocator *Allocator) compare(revisions map[string]uint64) {
-	for _, follower := range allocator.Followers {
-		follower.Behind(revisions[follower.Kind])
-	}
-}
-
 func (allocator *Allocator) handleHears(_ context.Context, _ string, decode func(any) error) (any, error) {
 	var message hearsMessage
 	if err := decode(&message); err != nil {
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -65,8 +65,10 @@
 type reportMessage struct {
 	// Foreign counts slots by service and upstream.
 	Foreign map[string]map[string]int `cbor:"1,keyasint,omitempty"`
-	// Revisions are those of the newest changes that the VM has received, by kind.
-	Revisions map[string]uint64 `cbor:"2,keyasint,omitempty"`
+	// Newest are the revisions of the newest changes that the VM has received, and
+	// Complete those up to which it misses none, in the order of its followers.
+	Newest   []uint64 `cbor:"4,keyasint,omitempty"`
+	Complete []uint64 `cbor:"5,keyasint,omitempty"`
 	// Follows are the services whose broker the VM takes the receiver for, with
 	// the term.
 	Follows map[string]uint64 `cbor:"3,keyasint,omitempty"`
@@ -76,11 +78,29 @@
 type reportAnswer struct {
 	// Leads are the services that the VM is the broker of, with the term.
 	Leads     map[string]uint64 `cbor:"1,keyasint,omitempty"`
-	Revisions map[string]uint64 `cbor:"2,keyasint,omitempty"`
+	// Newest are the revisions of the newest changes that the broker has received.
+	Newest []uint64 `cbor:"4,keyasint,omitempty"`
+	// Changes are those that the asking VM misses, in the order of the followers.
+	Changes [][]relayedChange `cbor:"5,keyasint,omitempty"`
+	// ListedAgo is the age of what the broker knows of the store, when it lists all
+	// objects at short intervals; otherwise 0.
+	ListedAgo time.Duration `cbor:"6,keyasint,omitempty"`
+	// RegainedAgo is how long ago the broker regained the store; 0 when that is long ago.
+	RegainedAgo time.Duration `cbor:"7,keyasint,omitempty"`
 	// StoreLost is for how long the VM has not reached the store; 0 while it does.
 	StoreLost time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
+// relayedChange is a change in the store.
+type relayedChange struct {
+	Name     string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+	Deleted  bool   `cbor:"3,keyasint,omitempty"`
+	Deleting bool   `cbor:"4,keyasint,omitempty"`
+	Spec     []byte `cbor:"5,keyasint,omitempty"`
+	Status   []byte `cbor:"6,keyasint,omitempty"`
+}
+
 // deposeMessage tells a VM that another one has become the broker of a service.
 type deposeMessage struct {
 	Service string `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/allocator/relay.go
@@ -0,0 +1,154 @@
+package allocator
+
+import (
+	"time"
+
+	"github.com/cuminstream/cuminstream/internal/storer"
+)
+
+// Each call of the store has a price, and its rates grow more slowly than the
+// number of VMs. Brokers therefore follow the store, one of them by lists at short
+// intervals, and pass changes on in their answers to reports; other VMs ask the
+// store only while they do not hear that one.
+const (
+	// relayedFor is the greatest age of what the listing broker knows. With the time
+	// until the next look and one list, a change that is not passed on is still in
+	// force within the 2 s that operators are promised.
+	relayedFor = 1400 * time.Millisecond
+	// maxRelayed bounds the bytes of the changes in one answer. Larger ones are read
+	// from the store, which is cheaper than traffic between zones.
+	maxRelayed = 16 << 10
+	// regainedMemory is how long brokers tell that the store was away.
+	regainedMemory = 3 * time.Second
+)
+
+// Relayed reports whether brokers pass all changes in the store on to this VM.
+func (allocator *Allocator) Relayed() bool {
+	for _, service := range allocator.all() {
+		if _, ok := service.leads(); ok {
+			return false
+		}
+	}
+	now := allocator.Clock.Now()
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	for _, peer := range allocator.peers {
+		if peer.lostSince.IsZero() && peer.storeLost == 0 && peer.listedAgo > 0 && peer.listedAgo+now.Sub(peer.said) < relayedFor {
+			return true
+		}
+	}
+	return false
+}
+
+// relay takes over what a broker has told of the store.
+func (allocator *Allocator) relay(answer reportAnswer) {
+	for i, follower := range allocator.Followers {
+		if answer.RegainedAgo > 0 {
+			follower.Regained(answer.RegainedAgo)
+		}
+		if i >= len(answer.Changes) {
+			continue
+		}
+		changes := make([]storer.Change, len(answer.Changes[i]))
+		for j, change := range answer.Changes[i] {
+			changes[j] = storer.Change{Deleted: change.Deleted, Object: storer.Object{
+				Kind: follower.Kind, Name: change.Name, Revision: change.Revision, Deleting: change.Deleting, Spec: change.Spec, Status: change.Status,
+			}}
+		}
+		follower.Relay(changes)
+	}
+	allocator.compare(answer.Newest)
+}
+
+// changesAfter returns the changes that a VM misses. Where that is not known, or
+// would be too much, the VM finds by the newest revisions that it must list.
+func (allocator *Allocator) changesAfter(complete []uint64) [][]relayedChange {
+	if len(complete) != len(allocator.Followers) {
+		return nil // a VM of another version
+	}
+	var all [][]relayedChange
+	size := 0
+	for i, follower := range allocator.Followers {
+		changes, ok := follower.Since(complete[i])
+		if !ok || len(changes) == 0 {
+			continue
+		}
+		relayed := make([]relayedChange, len(changes))
+		bytes := 0
+		for j, change := range changes {
+			relayed[j] = relayedChange{Name: change.Object.Name, Revision: change.Object.Revision, Deleted: change.Deleted, Deleting: change.Object.Deleting}
+			if !change.Deleted {
+				relayed[j].Spec, relayed[j].Status = change.Object.Spec, change.Object.Status
+			}
+			bytes += len(change.Object.Name) + len(relayed[j].Spec) + len(relayed[j].Status)
+		}
+		if size+bytes > maxRelayed {
+			continue
+		}
+		size += bytes
+		if all == nil {
+			all = make([][]relayedChange, len(allocator.Followers))
+		}
+		all[i] = relayed
+	}
+	return all
+}
+
+// newest returns the revisions of the newest changes that this VM has received.
+func (allocator *Allocator) newest() []uint64 {
+	revisions := make([]uint64, len(allocator.Followers))
+	for i, follower := range allocator.Followers {
+		revisions[i] = follower.Revision()
+	}
+	return revisions
+}
+
+// complete returns the revisions up to which this VM misses no change.
+func (allocator *Allocator) complete() []uint64 {
+	revisions := make([]uint64, len(allocator.Followers))
+	for i, follower := range allocator.Followers {
+		revisions[i] = follower.Complete()
+	}
+	return revisions
+}
+
+// compare tells the followers what another VM has received.
+func (allocator *Allocator) compare(newest []uint64) {
+	if len(newest) != len(allocator.Followers) {
+		return // a VM of another version
+	}
+	for i, follower := range allocator.Followers {
+		follower.Behind(newest[i])
+	}
+}
+
+// listedAgo returns the age of what this VM knows of the store, if it lists all
+// objects at short intervals; otherwise 0.
+func (allocator *Allocator) listedAgo() time.Duration {
+	if !allocator.Polls() {
+		return 0
+	}
+	oldest := time.Duration(1) // an age of 0 would mean that this VM does not list
+	for _, follower := range allocator.Followers {
+		ago, ok := follower.ListedAgo()
+		switch {
+		case follower.Poll == nil:
+			continue // it watches
+		case !ok:
+			return 0
+		}
+		oldest = max(oldest, ago)
+	}
+	return oldest
+}
+
+// regainedAgo returns how long ago this VM regained the store, or 0.
+func (allocator *Allocator) regainedAgo() time.Duration {
+	newest := time.Duration(0)
+	for _, follower := range allocator.Followers {
+		if ago, ok := follower.RegainedAgo(); ok && ago < regainedMemory && (newest == 0 || ago < newest) {
+			newest = max(ago, 1)
+		}
+	}
+	return newest
+}
--- a/internal/allocator/report.go
+++ b/internal/allocator/report.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		allocator.group.Go(func() error {
-			allocator.reportTo(ctx, vm, reportMessage{Foreign: counts, Follows: follows[vm], Revisions: allocator.revisions()})
+			allocator.reportTo(ctx, vm, reportMessage{Foreign: counts, Follows: follows[vm], Newest: allocator.newest(), Complete: allocator.complete()})
 			return nil
 		})
 	}
@@ -60,12 +60,12 @@
 	was := peer.lostSince
 	if err == nil {
 		peer.heard, peer.lostSince = now, time.Time{}
-		peer.leads, peer.said, peer.storeLost = answer.Leads, now, answer.StoreLost
+		peer.leads, peer.said, peer.storeLost, peer.listedAgo = answer.Leads, now, answer.StoreLost, answer.ListedAgo
 	} else if was.IsZero() && ctx.Err() == nil {
 		peer.lostSince = now
 	}
 	allocator.mutex.Unlock()
-	allocator.compare(answer.Revisions)
+	allocator.relay(answer)
 	switch {
 	case err == nil && !was.IsZero():
 		allocator.Log.Info("broker VM regained", "peer", vm, "lostForMs", now.Sub(was).Milliseconds())
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -188,9 +188,11 @@
 	edge.allocator.Followers = []*storer.Follower{
 		edge.follower(edge.KindConfig, edge.listConfig, edge.changeConfig, nil),
 		edge.follower(edge.KindUpstreams, edge.registrar.Listed, edge.registrar.Change, edge.registrar.Contact),
+		edge.enroller.Follow(), edge.allocator.Follow(),
+	}
+	for _, follower := range edge.allocator.Followers {
+		follower.Relayed = edge.allocator.Relayed
 	}
-	// A VM that is no broker needs the upstreams only while it cannot ask one.
-	edge.allocator.Followers[1].Relaxed = edge.allocator.CanAsk
 	edge.sender = &sender.Sender{Clock: edge.Clock, Protocol: edge.Protocol, Dial: edge.Dial}
 	edge.courier = &courier.Courier{
 		VM: edge.VM, Zone: edge.Zone, Clock: edge.Clock, Protocol: edge.Protocol, Allocator: edge.allocator, Sender: edge.sender,
@@ -219,8 +221,6 @@
 	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	group.Go(func() error { return edge.links.Run(ctx) })
 	group.Go(func() error { return edge.pool.Run(ctx) })
-	group.Go(func() error { return edge.enroller.Follow().Run(ctx) })
-	group.Go(func() error { return edge.allocator.Follow().Run(ctx) })
 	group.Go(func() error {
 		if edge.enroller.Enroll(ctx) != nil {
 			return nil
--- a/internal/storer/follower.go
+++ b/internal/storer/follower.go
@@ -30,13 +30,15 @@
 	// store that drops its history may leave a watch waiting for changes that it
 	// no longer knows; some VMs poll and tell the others what they miss.
 	Poll func() bool
-	// Relaxed is whether old data will do: the follower then reads cheap lists now
-	// and then instead of watching.
-	Relaxed func() bool
+	// Relayed is whether other VMs pass on all changes: the follower then does not
+	// watch, and only reads a cheap list now and then.
+	Relayed func() bool
 	// Pause returns the wait before the next watch after changes, so that changes
 	// in quick succession take one call.
 	Pause func() time.Duration
 
+	// applying is held while Listed or Changed run. It comes before the mutex.
+	applying sync.Mutex
 	mutex    sync.Mutex
 	revision uint64 // of the newest change
 	// complete is the revision of the store at the last list. Lists do not show
@@ -46,6 +48,10 @@
 	cancel   context.CancelFunc
 	kickedAt time.Time
 	lost     time.Time // since when calls fail; zero while they do not
+	listedAt time.Time // when the last list that succeeded began
+	// regainedAt is when the store was last regained, here or for other VMs.
+	regainedAt time.Time
+	recent   recent
 }
 
 const (
@@ -54,8 +60,11 @@
 	watchWait = 29 * time.Second
 	// pollInterval is the time between two lists of a follower that polls.
 	pollInterval = 700 * time.Millisecond
-	// relaxedInterval is the time between two cheap lists.
-	relaxedInterval = 3 * time.Second
+	// cheapInterval is the time between two cheap lists of a follower that others
+	// pass changes on to. They only make up for faults of the relay.
+	cheapInterval = 10 * time.Second
+	// relayCheck is the time between two looks whether others still do so.
+	relayCheck = 200 * time.Millisecond
 	// kickInterval bounds how often a watch is given up because others know more.
 	kickInterval = 300 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait after a call that failed.
@@ -100,6 +109,12 @@
 	follower.lost = since
 }
 
+func (follower *Follower) setRegained() {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.regainedAt = follower.Clock.Now()
+}
+
 // Restart ends the watch, so that a follower that is to poll begins at once.
 func (follower *Follower) Restart() {
 	follower.mutex.Lock()
@@ -110,18 +125,12 @@
 	}
 }
 
-// completed records that a list misses nothing up to the revision of the store.
-func (follower *Follower) completed(at uint64) {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	follower.complete = max(follower.complete, at)
-}
-
-// saw records the revision of a change.
-func (follower *Follower) saw(revision uint64) {
+// Listed returns how long ago the last list that succeeded began. ok is false
+// while the follower has listed nothing.
+func (follower *Follower) ListedAgo() (ago time.Duration, ok bool) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	follower.revision = max(follower.revision, revision)
+	return follower.Clock.Now().Sub(follower.listedAt), !follower.listedAt.IsZero()
 }
 
 // begin returns the context of one call, which Behind ends.
@@ -159,6 +168,7 @@
 		case err == nil:
 			listed, at = true, next
 			if failures > 0 {
+				follower.setRegained()
 				follower.Log.Info("store regained", "kind", follower.Kind, "failures", failures, "revision", next)
 			}
 			if follower.Contact != nil {
@@ -167,6 +177,9 @@
 			failures = 0
 			follower.setLost(time.Time{})
 			continue
+		case errors.Is(err, errOutdated):
+			listed = false
+			continue
 		case errors.Is(err, ErrHistoryGone):
 			follower.Log.Info("store has dropped its history", "kind", follower.Kind, "revision", at)
 			listed = false
@@ -190,34 +203,22 @@
 
 func (follower *Follower) once(ctx context.Context, listed bool, at uint64) (uint64, error) {
 	if !listed {
-		objects, next, err := follower.Store.List(ctx, follower.Kind)
-		if err != nil {
-			return 0, err
-		}
-		for _, object := range objects {
-			follower.saw(object.Revision)
-		}
-		follower.Listed(objects)
-		follower.completed(next)
-		return next, nil
+		return follower.list(ctx, follower.Store.List)
 	}
 	if follower.Poll != nil && follower.Poll() {
 		if err := clocker.Sleep(ctx, follower.Clock, pollInterval); err != nil {
 			return 0, err
 		}
-		return follower.once(ctx, false, at)
+		return follower.list(ctx, follower.Store.List)
 	}
-	if follower.Relaxed != nil && follower.Relaxed() {
-		return follower.relaxed(ctx, at)
+	if follower.Relayed != nil && follower.Relayed() {
+		return follower.await(ctx, at)
 	}
-	changes, next, err := follower.Store.Watch(ctx, follower.Kind, at, watchWait)
+	changes, next, err := follower.Store.Watch(ctx, follower.Kind, max(at, follower.Revision()), watchWait)
 	if err != nil {
 		return 0, err
 	}
-	for _, change := range changes {
-		follower.saw(change.Object.Revision)
-		follower.Changed(change)
-	}
+	follower.Relay(changes)
 	if len(changes) > 0 && follower.Pause != nil {
 		if err := clocker.Sleep(ctx, follower.Clock, follower.Pause()); err != nil {
 			return 0, err
@@ -226,22 +227,37 @@
 	return max(next, at), nil
 }
 
-// relaxed reads a list that may be old, and ignores one that is older than what
-// is known.
-func (follower *Follower) relaxed(ctx context.Context, at uint64) (uint64, error) {
-	if err := clocker.Sleep(ctx, follower.Clock, relaxedInterval); err != nil {
-		return 0, err
-	}
-	objects, next, err := follower.Store.ListStale(ctx, follower.Kind)
+// list reads all objects. A list from before a change that another VM has passed
+// on meanwhile is not applied, and read again unless it was a cheap one.
+func (follower *Follower) list(ctx context.Context, read func(context.Context, string) ([]Object, uint64, error)) (uint64, error) {
+	began := follower.Clock.Now()
+	objects, next, err := read(ctx, follower.Kind)
 	if err != nil {
 		return 0, err
 	}
-	if next < at {
-		return at, nil
-	}
-	for _, object := range objects {
-		follower.saw(object.Revision)
+	follower.applying.Lock()
+	defer follower.applying.Unlock()
+	if !follower.listed(objects, next, began) {
+		return 0, errOutdated
 	}
 	follower.Listed(objects)
 	return next, nil
 }
+
+// await waits while other VMs pass changes on. After some time it reads a list
+// that may be old, and ignores one that is older than what is known.
+func (follower *Follower) await(ctx context.Context, at uint64) (uint64, error) {
+	for waited := time.Duration(0); waited < cheapInterval; waited += relayCheck {
+		if err := clocker.Sleep(ctx, follower.Clock, relayCheck); err != nil {
+			return 0, err
+		}
+		if !follower.Relayed() {
+			return max(at, follower.Revision()), nil
+		}
+	}
+	next, err := follower.list(ctx, follower.Store.ListStale)
+	if errors.Is(err, errOutdated) {
+		return max(at, follower.Revision()), nil
+	}
+	return next, err
+}
--- /dev/null
+++ b/internal/storer/relay.go
@@ -0,0 +1,159 @@
+package storer
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+)
+
+// errOutdated means that a list is older than what other VMs have passed on.
+var errOutdated = errors.New("the list is older than what is known")
+
+// maxRecent is the number of changes that a follower can pass on. VMs ask for them
+// every few tenths of a second.
+const maxRecent = 256
+
+// recent holds the newest changes of a kind, for VMs that do not watch the store.
+type recent struct {
+	known   map[string]uint64 // revisions of all objects, by name
+	changes []Change          // in the order of their revisions
+	after   uint64            // no change above this revision is missing
+}
+
+// add records a change.
+func (recent *recent) add(change Change) {
+	if change.Deleted {
+		delete(recent.known, change.Object.Name)
+	} else {
+		recent.known[change.Object.Name] = change.Object.Revision
+	}
+	recent.changes = append(recent.changes, change)
+	if excess := len(recent.changes) - maxRecent; excess > 0 {
+		recent.after = recent.changes[excess-1].Object.Revision
+		recent.changes = slices.Delete(recent.changes, 0, excess)
+	}
+}
+
+// replace records a list of all objects at a revision of the store, by its
+// differences from what was known. A list does not tell when an object was
+// deleted: at that revision at the latest.
+func (recent *recent) replace(objects []Object, at uint64) {
+	first := recent.known == nil
+	present := make(map[string]uint64, len(objects))
+	var changes []Change
+	for _, object := range objects {
+		present[object.Name] = object.Revision
+		if object.Revision > recent.known[object.Name] {
+			changes = append(changes, Change{Object: object})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Object.Revision, b.Object.Revision) })
+	for name := range recent.known {
+		if _, ok := present[name]; !ok {
+			changes = append(changes, Change{Object: Object{Name: name, Revision: at}, Deleted: true})
+		}
+	}
+	if first {
+		recent.known, recent.after = present, at
+		return
+	}
+	for _, change := range changes {
+		recent.add(change)
+	}
+}
+
+// listed records a list. It returns false for one that is older than what is known.
+func (follower *Follower) listed(objects []Object, at uint64, began time.Time) bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if at < max(follower.revision, follower.complete) {
+		return false
+	}
+	follower.recent.replace(objects, at)
+	for _, object := range objects {
+		follower.revision = max(follower.revision, object.Revision)
+	}
+	if changes := follower.recent.changes; len(changes) > 0 {
+		follower.revision = max(follower.revision, changes[len(changes)-1].Object.Revision)
+	}
+	follower.complete, follower.listedAt = at, began
+	return true
+}
+
+// Complete returns the revision up to which this follower misses no change.
+func (follower *Follower) Complete() uint64 {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return max(follower.revision, follower.complete)
+}
+
+// Since returns the changes after a revision up to which another VM misses none.
+// ok is false when they are not all known any more.
+func (follower *Follower) Since(complete uint64) (changes []Change, ok bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if complete >= follower.revision {
+		return nil, true
+	}
+	if follower.recent.known == nil || complete < follower.recent.after {
+		return nil, false
+	}
+	for _, change := range follower.recent.changes {
+		if change.Object.Revision > complete {
+			changes = append(changes, change)
+		}
+	}
+	return changes, true
+}
+
+// Relay applies changes that the store or another VM has told, in the order of
+// their revisions, with none left out. Known ones are ignored.
+func (follower *Follower) Relay(changes []Change) {
+	follower.applying.Lock()
+	defer follower.applying.Unlock()
+	for _, change := range changes {
+		if follower.news(change) {
+			follower.Changed(change)
+		}
+	}
+}
+
+// news records a change, and reports whether it was not known.
+func (follower *Follower) news(change Change) bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if follower.recent.known == nil || change.Object.Revision <= max(follower.revision, follower.complete) {
+		return false
+	}
+	follower.revision = change.Object.Revision
+	follower.recent.add(change)
+	return true
+}
+
+// RegainedAgo returns how long ago the store was last regained. ok is false when
+// it never was.
+func (follower *Follower) RegainedAgo() (ago time.Duration, ok bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.Clock.Now().Sub(follower.regainedAt), !follower.regainedAt.IsZero()
+}
+
+// Regained records that the store has been regained for VMs that pass changes on:
+// entries that lapsed meanwhile may still return.
+func (follower *Follower) Regained(ago time.Duration) {
+	now := follower.Clock.Now()
+	follower.mutex.Lock()
+	news := now.Add(-ago).Sub(follower.regainedAt) > minRegained
+	if news {
+		follower.regainedAt = now.Add(-ago)
+	}
+	follower.mutex.Unlock()
+	if news && follower.Contact != nil {
+		follower.Contact(now, true)
+	}
+}
+
+// minRegained is the time between two outages that are told apart. Times that
+// pass between VMs are exact to the time of a call.
+const minRegained = 500 * time.Millisecond
