Make fewer calls of the store at the start of a VM

Change: the answer to a conflicting write has the object, so that it is not read again; after its first lists a VM gives brokers 0.9 s to pass changes on before it watches; ledgers, which only serve while the broker is lost, are read at the price of old data (upstreams refuse keys that they no longer hold).

--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -44,6 +44,9 @@
 	links    map[string]chan struct{}
 	cut      bool // from all other VMs
 	noStore  bool
+	silent   bool   // calls of the store end with their time limit
+	config   uint64 // revision of the configuration that the VM has heard of
+	calls    int    // of the store, for the configuration
 	stop     context.CancelFunc
 	done     chan struct{}
 }
@@ -122,7 +125,11 @@
 	time.Sleep(2 * time.Millisecond)
 	store.vm.system.mutex.Lock()
 	if store.vm.noStore {
+		silent := store.vm.silent
 		store.vm.system.mutex.Unlock()
+		if silent {
+			time.Sleep(1500 * time.Millisecond)
+		}
 		return nil, fmt.Errorf("%w: status 503", storer.ErrRefused)
 	}
 	return store.vm.system.mutex.Unlock, nil
@@ -134,6 +141,9 @@
 		return nil, 0, err
 	}
 	defer unlock()
+	if kind == "config" {
+		store.vm.calls++
+	}
 	var objects []storer.Object
 	for key, object := range store.vm.system.objects {
 		if key == kind+"/"+object.Name {
@@ -143,6 +153,10 @@
 	return objects, store.vm.system.last, nil
 }
 
+func (store store) ListStale(ctx context.Context, kind string) ([]storer.Object, uint64, error) {
+	return store.List(ctx, kind)
+}
+
 func (store store) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 		objects, at, err := store.List(ctx, kind)
@@ -217,7 +231,12 @@
 	}
 	started.Followers = []*storer.Follower{{
 		Store: store{vm: started}, Kind: "config", Clock: clocker.System{}, Log: started.Log,
-		Listed: func([]storer.Object) {}, Changed: func(storer.Change) {}, Poll: started.Polls,
+		Listed: func(objects []storer.Object) {
+			for _, object := range objects {
+				started.hear(object)
+			}
+		},
+		Changed: func(change storer.Change) { started.hear(change.Object) }, Poll: started.Polls, Relayed: started.Relayed,
 	}}
 	started.Tune(10*time.Second, 0.2, 50, 10*time.Second, 2*time.Second)
 	started.Init(started)
@@ -243,6 +262,22 @@
 	return started
 }
 
+// hear records the configuration.
+func (vm *vm) hear(object storer.Object) {
+	vm.system.mutex.Lock()
+	defer vm.system.mutex.Unlock()
+	vm.config = object.Revision
+}
+
+// configure writes a configuration and returns its revision.
+func (system *system) configure() uint64 {
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	system.last++
+	system.objects["config/main"] = storer.Object{Kind: "config", Name: "main", Revision: system.last, Spec: []byte("{}")}
+	return system.last
+}
+
 func (vm *vm) end() {
 	vm.stop()
 	<-vm.done
--- a/internal/allocator/lead.go
+++ b/internal/allocator/lead.go
@@ -307,7 +307,9 @@
 	if err == nil {
 		return object.Revision, true
 	}
-	if !errors.Is(err, storer.ErrRefused) {
+	if storer.Known(object, err) {
+		err = nil
+	} else if !errors.Is(err, storer.ErrRefused) {
 		object, err = allocator.Store.Get(ctx, KindBrokers, service.name)
 	}
 	if err != nil {
--- a/internal/allocator/ledger.go
+++ b/internal/allocator/ledger.go
@@ -27,17 +27,25 @@
 	return true
 }
 
+// fetchLedger reads the ledger at the lower price of old data: upstreams refuse
+// requests for keys that they no longer hold.
 func (service *service) fetchLedger(ctx context.Context) {
-	object, err := service.allocator.Store.Get(ctx, keeper.KindLedgers, service.name)
-	var ledger *keeper.Ledger
-	if err == nil {
-		ledger, err = keeper.DecodeLedger(object.Spec)
-	}
+	objects, _, err := service.allocator.Store.ListStale(ctx, keeper.KindLedgers)
 	if err != nil {
 		service.allocator.Log.Info("ledger not read", "service", service.name, "error", err.Error())
 		return
 	}
-	service.written(ledger)
+	for _, object := range objects {
+		if object.Name != service.name {
+			continue
+		}
+		ledger, err := keeper.DecodeLedger(object.Spec)
+		if err != nil {
+			service.allocator.Log.Warn("ledger is not usable", "service", service.name, "revision", object.Revision, "error", err.Error())
+			return
+		}
+		service.written(ledger)
+	}
 }
 
 // written takes over a newer ledger.
--- a/internal/allocator/relay.go
+++ b/internal/allocator/relay.go
@@ -15,6 +15,9 @@
 	// until the next look and one list, a change that is not passed on is still in
 	// force within the 2 s that operators are promised.
 	relayedFor = 1400 * time.Millisecond
+	// relayGrace is how long after its own list a VM waits for brokers to pass changes
+	// on before it watches: two reports and the calls for them.
+	relayGrace = 2*reportInterval + 100*time.Millisecond
 	// maxRelayed bounds the bytes of the changes in one answer. Larger ones are read
 	// from the store, which is cheaper than traffic between zones.
 	maxRelayed = 16 << 10
@@ -22,13 +25,17 @@
 	regainedMemory = 3 * time.Second
 )
 
-// Relayed reports whether brokers pass all changes in the store on to this VM.
-func (allocator *Allocator) Relayed() bool {
+// Relayed reports whether brokers pass all changes in the store on to this VM, or
+// have had no time to do so since this VM made a list of its own.
+func (allocator *Allocator) Relayed(listedAgo time.Duration) bool {
 	for _, service := range allocator.all() {
 		if _, ok := service.leads(); ok {
 			return false
 		}
 	}
+	if listedAgo < relayGrace {
+		return true
+	}
 	now := allocator.Clock.Now()
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
--- /dev/null
+++ b/internal/allocator/relay_test.go
@@ -0,0 +1,69 @@
+package allocator_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// heard asserts that all VMs but those without the store have the configuration
+// within the 2 s that operators are promised.
+func heard(t *testing.T, system *system, vms []*vm, revision uint64, what string) {
+	time.Sleep(2 * time.Second)
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	for _, vm := range vms {
+		if !vm.noStore && !vm.cut {
+			assert.Assert(t, vm.config >= revision, "%s: %s has revision %d of %d", what, vm.name, vm.config, revision)
+		}
+	}
+}
+
+// On the grown sites, each change of the store took a call of each VM. Brokers pass
+// changes on; the others hear of them in time without a call.
+func TestBrokersPassChangesOn(t *testing.T) {
+	run(t, 8, func(t *testing.T, system *system, vms []*vm) {
+		system.configure()
+		time.Sleep(30 * time.Second) // watches from before there was a broker end
+		before := map[string]int{}
+		for _, vm := range vms {
+			before[vm.name] = vm.calls
+		}
+		for range 10 {
+			heard(t, system, vms, system.configure(), "calm")
+			time.Sleep(time.Second)
+		}
+		quiet := 0
+		for _, vm := range vms {
+			if calls := vm.calls - before[vm.name]; calls <= 4 { // cheap lists, of which each costs a tenth
+				quiet++
+			}
+		}
+		assert.Assert(t, quiet >= 6, "%d of 8 VMs do without calls of the store", quiet)
+	})
+}
+
+// A VM that reaches the store must have a configuration in force in time also when
+// the broker that listed for it does not reach the store any more, or is lost just
+// before the change.
+func TestChangesAreHeardWithoutTheListingBroker(t *testing.T) {
+	for _, way := range []struct{ silent, lost bool }{{false, false}, {true, false}, {true, true}} {
+		for offset := range 5 {
+			run(t, 6, func(t *testing.T, system *system, vms []*vm) {
+				system.configure()
+				time.Sleep(30*time.Second + time.Duration(offset)*170*time.Millisecond)
+				first := system.claim(t, "keyed").Broker
+				system.mutex.Lock()
+				for _, vm := range vms {
+					if vm.name == first {
+						vm.noStore, vm.silent, vm.cut = true, way.silent, way.lost
+					}
+				}
+				system.mutex.Unlock()
+				heard(t, system, vms, system.configure(), "the listing broker is cut off")
+				heard(t, system, vms, system.configure(), "later")
+			})
+		}
+	}
+}
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -84,6 +84,9 @@
 		// When another VM was faster, or the answer was lost, the next try reads
 		// the key that is stored.
 		object, err = enroller.Store.Create(ctx, kindKeys, linkKey, keyRecord{Key: hex.EncodeToString(made)})
+		if storer.Known(object, err) {
+			err = nil // the key that another VM has made
+		}
 	}
 	if err != nil {
 		return nil, err
@@ -112,14 +115,15 @@
 }
 
 func (enroller *Enroller) tryEnroll(ctx context.Context) error {
-	_, err := enroller.Store.Create(ctx, KindVMs, enroller.Name, enroller.Self)
+	object, err := enroller.Store.Create(ctx, KindVMs, enroller.Name, enroller.Self)
 	if err == nil || errors.Is(err, storer.ErrRefused) {
 		return err
 	}
 	// An earlier process has registered, or the answer was lost.
-	object, err := enroller.Store.Get(ctx, KindVMs, enroller.Name)
-	if err != nil {
-		return err
+	if !storer.Known(object, err) {
+		if object, err = enroller.Store.Get(ctx, KindVMs, enroller.Name); err != nil {
+			return err
+		}
 	}
 	var stored VM
 	if err := json.Unmarshal(object.Spec, &stored); err == nil && stored == enroller.Self {
--- a/internal/storer/follower.go
+++ b/internal/storer/follower.go
@@ -30,9 +30,10 @@
 	// store that drops its history may leave a watch waiting for changes that it
 	// no longer knows; some VMs poll and tell the others what they miss.
 	Poll func() bool
-	// Relayed is whether other VMs pass on all changes: the follower then does not
-	// watch, and only reads a cheap list now and then.
-	Relayed func() bool
+	// Relayed is whether other VMs pass on all changes, or may soon do so, given the
+	// age of the own list: the follower then does not watch, and only reads a cheap
+	// list now and then.
+	Relayed func(listedAgo time.Duration) bool
 	// Pause returns the wait before the next watch after changes, so that changes
 	// in quick succession take one call.
 	Pause func() time.Duration
@@ -211,7 +212,7 @@
 		}
 		return follower.list(ctx, follower.Store.List)
 	}
-	if follower.Relayed != nil && follower.Relayed() {
+	if follower.relayed() {
 		return follower.await(ctx, at)
 	}
 	changes, next, err := follower.Store.Watch(ctx, follower.Kind, max(at, follower.Revision()), watchWait)
@@ -244,6 +245,15 @@
 	return next, nil
 }
 
+// relayed reports whether this follower need not watch.
+func (follower *Follower) relayed() bool {
+	if follower.Relayed == nil {
+		return false
+	}
+	ago, ok := follower.ListedAgo()
+	return ok && follower.Relayed(ago)
+}
+
 // await waits while other VMs pass changes on. After some time it reads a list
 // that may be old, and ignores one that is older than what is known.
 func (follower *Follower) await(ctx context.Context, at uint64) (uint64, error) {
@@ -251,7 +261,7 @@
 		if err := clocker.Sleep(ctx, follower.Clock, relayCheck); err != nil {
 			return 0, err
 		}
-		if !follower.Relayed() {
+		if !follower.relayed() {
 			return max(at, follower.Revision()), nil
 		}
 	}
--- a/internal/storer/follower_test.go
+++ b/internal/storer/follower_test.go
@@ -172,7 +172,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &store{}
 		follower, seen := follow(t, store, false)
-		follower.Relayed = func() bool { return true }
+		follower.Relayed = func(time.Duration) bool { return true }
 		follower.Restart()
 		synctest.Wait()
 		store.change()
--- a/internal/storer/relay_test.go
+++ b/internal/storer/relay_test.go
@@ -115,7 +115,7 @@
 	view := &view{}
 	follower := &storer.Follower{
 		Store: objects, Kind: "kind", Clock: clocker.System{}, Log: slog.New(slog.DiscardHandler),
-		Relayed: func() bool { return relayed },
+		Relayed: func(time.Duration) bool { return relayed },
 		Listed: func(list []storer.Object) {
 			view.mutex.Lock()
 			defer view.mutex.Unlock()
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -27,7 +27,8 @@
 
 // Errors of a store. Any other error leaves the outcome of a write unknown.
 var (
-	// ErrConflict means that the object is not at the expected revision.
+	// ErrConflict means that the object is not at the expected revision. The object
+	// that is returned with it is the one in the store, if its revision is above 0.
 	ErrConflict = errors.New("the object has another revision")
 	// ErrNotFound means that the object does not exist.
 	ErrNotFound = errors.New("the object does not exist")
@@ -38,6 +39,11 @@
 	ErrRefused = errors.New("the store refused the call")
 )
 
+// Known reports whether an error of a write came with the object in the store.
+func Known(object Object, err error) bool {
+	return errors.Is(err, ErrConflict) && object.Revision > 0
+}
+
 // Store is the object store of the platform.
 type Store interface {
 	// List returns all objects of the kind and the store's revision.
