Give the founder of a group its time before the group is formed again

Cause: a VM notes since when a group has no quorum. Ruled out: a lost write (each VM wrote once). Change: the note refers to one revision of the record.

--- a/internal/replicator/manager.go
+++ b/internal/replicator/manager.go
@@ -90,6 +90,7 @@
 	busy      bool                 // a write or a formation is running
 	missing   time.Time            // since when the record is not known
 	lost      time.Time            // since when no quorum of candidates is left
+	lostUnder uint64               // the revision of the record that lost refers to
 	probed    time.Time            // when the candidates were asked last
 	unwritten *Record              // a write whose outcome is not known
 	inviting  time.Time            // when the present invitation began
--- a/internal/replicator/repair.go
+++ b/internal/replicator/repair.go
@@ -173,8 +173,9 @@
 			switch {
 			case !lost:
 				watch.lost = time.Time{}
-			case watch.lost.IsZero():
-				watch.lost = now
+			case watch.lost.IsZero() || watch.lostUnder != record.Revision:
+				// Another VM has formed the group anew: its founder gets the whole time.
+				watch.lost, watch.lostUnder = now, record.Revision
 			default:
 				due = now.Sub(watch.lost) >= lostAfter+delay
 			}
