Spread the load while VMs assign slots by themselves

Change: without a broker each VM uses twice its even share of an upstream's slots, one at least, and prefers other upstreams than the other VMs.

--- a/internal/allocator/lead.go
+++ b/internal/allocator/lead.go
@@ -163,7 +163,11 @@
 
 // tend claims services that have no broker, or whose broker is lost.
 func (allocator *Allocator) tend(ctx context.Context) {
+	vms := len(allocator.Members.VMs())
 	for _, service := range allocator.all() {
+		if !service.mine() {
+			service.broker.Alone(allocator.VM, vms)
+		}
 		if service.needsLedger() {
 			allocator.group.Go(func() error {
 				service.fetchLedger(ctx)
@@ -330,6 +334,7 @@
 	allocator.mutex.Lock()
 	ctx, upstreams, tunables := allocator.ctx, allocator.upstreams, allocator.tunables
 	allocator.mutex.Unlock()
+	service.broker.Alone(allocator.VM, 1)
 	service.broker.SetBudget(budgeter.New(allocator.Clock, tunables.retryWindow, tunables.retryRatio*budgetShare, int(float64(tunables.retrySlack)*budgetShare)))
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -106,9 +106,9 @@
 		if upstream.Draining || !broker.allowed(upstream, ask, now) {
 			continue
 		}
-		slots += upstream.Slots
+		slots += upstream.limit
 		free += max(upstream.free(), 0)
-		rate += float64(upstream.Slots) / upstream.expected()
+		rate += float64(upstream.limit) / upstream.expected()
 	}
 	if slots == 0 {
 		return 0, 0, false
@@ -149,7 +149,7 @@
 	if free := upstream.free(); free > ahead {
 		return 0, work, true
 	}
-	return float64(ahead+1) * work / float64(upstream.Slots), work, true
+	return float64(ahead+1) * work / float64(upstream.limit), work, true
 }
 
 // capacity returns the slot-seconds per second that the upstreams offer.
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -35,6 +35,7 @@
 	fast      keyMeter
 	slow      keyMeter
 	scratch   []*upstream // reused by open
+	alone     alone
 }
 
 // ticket is the use of a slot.
@@ -93,10 +94,10 @@
 			broker.loseRuns(old, now)
 		}
 		if old == nil || old.Born != info.Born || old.Address != info.Address {
-			known[info.ID] = newUpstream(info, broker.meanWork())
-			continue
+			old = newUpstream(info, broker.meanWork())
 		}
 		old.Upstream = info
+		old.limit = broker.alone.limit(info)
 		known[info.ID] = old
 	}
 	broker.upstreams = known
--- a/pkg/broker/dispatch.go
+++ b/pkg/broker/dispatch.go
@@ -156,7 +156,7 @@
 		if !filter(upstream) || !broker.allowed(upstream, ask, now) {
 			continue
 		}
-		cost := upstream.cost()
+		cost := upstream.cost() * broker.alone.preference(upstream.ID)
 		if upstream.Zone != ask.Zone {
 			cost += crossing
 		}
--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -28,6 +28,7 @@
 // upstream is what a broker believes of an upstream.
 type upstream struct {
 	Upstream
+	limit   int            // slots that this broker may assign
 	tickets int            // slots that this broker has assigned
 	foreign map[string]int // slots in use that other brokers assigned, by VM
 
@@ -44,7 +45,7 @@
 }
 
 func newUpstream(info Upstream, work float64) *upstream {
-	return &upstream{Upstream: info, work: work, foreign: map[string]int{}, unreachable: map[string]time.Time{}, misses: map[string]int{}}
+	return &upstream{Upstream: info, limit: info.Slots, work: work, foreign: map[string]int{}, unreachable: map[string]time.Time{}, misses: map[string]int{}}
 }
 
 // inUse returns the slots that are taken.
@@ -56,14 +57,14 @@
 	return count
 }
 
-func (upstream *upstream) free() int { return upstream.Slots - upstream.inUse() }
+func (upstream *upstream) free() int { return upstream.limit - upstream.inUse() }
 
 // room returns the requests that the upstream may get for a key that only it can
 // serve: while others wait, one more than its slots, which it starts itself as
 // soon as a slot is free. Otherwise the slot would be empty until the broker has
 // heard of its end and the next request has arrived.
 func (upstream *upstream) room(waiting int) int {
-	if waiting > 1 {
+	if waiting > 1 && upstream.limit == upstream.Slots {
 		return upstream.free() + 1
 	}
 	return upstream.free()
