End a soak that is broken off at once, with its processes

Change: sleeps end with the soak, SIGTERM ends it in order, and its processes get SIGKILL when it dies. It still measures by the system's clock: it plays with real processes, which no fake clock can hold.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -25,7 +26,7 @@
 func main() {
 	var flags flags
 	parser := kong.Parse(&flags, kong.Name("soak"), kong.Description("Runs entry VMs under random faults and checks their promises."))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	failed := 0
 	for seed := flags.Seed; seed < flags.Seed+uint64(flags.Seeds) && ctx.Err() == nil; seed++ {
--- a/internal/standin/soaker/faults.go
+++ b/internal/standin/soaker/faults.go
@@ -43,21 +43,21 @@
 	case 2:
 		return fmt.Sprintf("pause %s for %v", vm.Name, length), func() error {
 			err := vm.signal(syscall.SIGSTOP)
-			time.Sleep(length)
+			soak.sleep(length)
 			return errors.Join(err, vm.signal(syscall.SIGCONT))
 		}
 	case 3:
 		return "reload " + vm.Name, func() error { return vm.signal(syscall.SIGHUP) }
 	case 4:
-		return fmt.Sprintf("store of %s: fault %d for %v", vm.Name, kind, length), func() error { return spoil(length, kind, vm.store) }
+		return fmt.Sprintf("store of %s: fault %d for %v", vm.Name, kind, length), func() error { return soak.spoil(length, kind, vm.store) }
 	case 5:
 		var all []*Proxy
 		for _, vm := range soak.vms {
 			all = append(all, vm.store)
 		}
-		return fmt.Sprintf("store of all: fault %d for %v", kind, length), func() error { return spoil(length, kind, all...) }
+		return fmt.Sprintf("store of all: fault %d for %v", kind, length), func() error { return soak.spoil(length, kind, all...) }
 	case 6:
-		return fmt.Sprintf("%s: fault %d for %v", upstream.ID, kind, length), func() error { return spoil(length, kind, proxy) }
+		return fmt.Sprintf("%s: fault %d for %v", upstream.ID, kind, length), func() error { return soak.spoil(length, kind, proxy) }
 	case 7:
 		return "restart " + upstream.ID, func() error { return soak.revive(upstream, proxy) }
 	default:
@@ -66,11 +66,11 @@
 }
 
 // spoil sets a fault for some time.
-func spoil(length time.Duration, kind fault, proxies ...*Proxy) error {
+func (soak *soak) spoil(length time.Duration, kind fault, proxies ...*Proxy) error {
 	for _, proxy := range proxies {
 		proxy.set(kind)
 	}
-	time.Sleep(length)
+	soak.sleep(length)
 	for _, proxy := range proxies {
 		proxy.set(none)
 	}
@@ -85,9 +85,9 @@
 		}
 		return err
 	}
-	time.Sleep(down)
-	if vm.runs() {
-		return nil // another fault has started it
+	soak.sleep(down)
+	if vm.runs() || soak.ctx.Err() != nil {
+		return nil // another fault has started it, or the soak was broken off
 	}
 	return vm.start()
 }
@@ -98,7 +98,7 @@
 	if err := upstream.server.Close(); err != nil {
 		return err
 	}
-	time.Sleep(300 * time.Millisecond)
+	soak.sleep(300 * time.Millisecond)
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	if err := upstream.start(address, soak.group); err != nil {
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -95,6 +95,17 @@
 	return report, err
 }
 
+// sleep waits by the clock of the processes that it plays with, or until the soak
+// is broken off.
+func (soak *soak) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-soak.ctx.Done():
+	}
+}
+
 // build starts the store, the upstreams and the VMs.
 func (soak *soak) build() error {
 	storeAddress, err := soak.serveStore()
@@ -174,13 +185,13 @@
 			return nil
 		})
 	}
-	time.Sleep(startTime)
+	soak.sleep(startTime)
 	var faults errgroup.Group
 	for end := time.Now().Add(soak.Faults); time.Now().Before(end) && soak.ctx.Err() == nil; {
 		name, act := soak.draw()
 		soak.steps = append(soak.steps, fmt.Sprintf("%.1f s: %s", time.Since(soak.began).Seconds(), name))
 		faults.Go(act)
-		time.Sleep(time.Duration(300+soak.random.IntN(1500)) * time.Millisecond)
+		soak.sleep(time.Duration(300+soak.random.IntN(1500)) * time.Millisecond)
 	}
 	return faults.Wait()
 }
@@ -188,10 +199,13 @@
 // judgeEnd waits until the system has had time to heal, and returns the share of
 // requests that succeed then.
 func (soak *soak) judgeEnd() float64 {
-	time.Sleep(healTime)
+	soak.sleep(healTime)
 	served, sent := soak.served.Load(), soak.sent.Load()
-	for end := time.Now().Add(judgeLimit); soak.sent.Load()-sent < judgeCount && time.Now().Before(end); {
-		time.Sleep(judgePoll)
+	for end := time.Now().Add(judgeLimit); soak.sent.Load()-sent < judgeCount && time.Now().Before(end) && soak.ctx.Err() == nil; {
+		soak.sleep(judgePoll)
+	}
+	if soak.ctx.Err() != nil {
+		return 0 // broken off: nothing to judge
 	}
 	share := float64(soak.served.Load()-served) / max(float64(soak.sent.Load()-sent), 1)
 	if share < mustServe {
--- a/internal/standin/soaker/soaker_test.go
+++ b/internal/standin/soaker/soaker_test.go
@@ -1,8 +1,10 @@
 package soaker_test
 
 import (
+	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,3 +31,22 @@
 	assert.Equal(t, len(report.Failures), 0)
 	assert.Assert(t, report.Answers[200] > 200, "%v", report.Answers)
 }
+
+// A soak that was broken off went on sleeping, and left paused processes behind.
+func TestBrokenOffSoakEndsAtOnce(t *testing.T) {
+	path, err := filepath.Abs(binary)
+	assert.NilError(t, err)
+	ctx, stop := context.WithTimeout(t.Context(), 7*time.Second)
+	defer stop()
+	folder := t.TempDir()
+	began := time.Now()
+	_, err = soaker.Run(ctx, soaker.Options{Seed: 3, Faults: time.Minute, Binary: path, Folder: folder, VMs: 2, Upstreams: 2, Callers: 2})
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(began) < 20*time.Second, "it ended after %v", time.Since(began))
+	processes, err := filepath.Glob("/proc/[0-9]*/cmdline")
+	assert.NilError(t, err)
+	for _, process := range processes {
+		line, err := os.ReadFile(process)
+		assert.Assert(t, err != nil || !strings.Contains(string(line), folder), "%s still runs: %q", process, line)
+	}
+}
--- a/internal/standin/soaker/vm.go
+++ b/internal/standin/soaker/vm.go
@@ -90,6 +90,8 @@
 	defer vm.mutex.Unlock()
 	process := exec.Command(vm.binary, "--settings", vm.settings)
 	process.Stdout, process.Stderr = vm.log, vm.log
+	// A soak that is killed leaves no processes, paused ones included.
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
 		return err
 	}
