Remove a deadlock between the list of upstreams and the keeper

Cause: a change of the upstreams locked the service and then its keeper, while the keeper, locked, asks the service whether it may renew. Found by reading, when the keeper began to ask more often.

--- a/internal/allocator/service.go
+++ b/internal/allocator/service.go
@@ -11,7 +11,8 @@
 	"github.com/cuminstream/cuminstream/pkg/budgeter"
 )
 
-// service is one service at this VM. Lock order: broker, service, keeper.
+// service is one service at this VM. Lock order: broker, keeper, service: the broker
+// asks the keeper for owners, and the keeper asks the service for its authority.
 type service struct {
 	allocator *Allocator
 	name      string
@@ -70,9 +71,10 @@
 	own := service.own(all)
 	service.broker.SetUpstreams(own)
 	service.mutex.Lock()
-	defer service.mutex.Unlock()
-	if service.keeper != nil {
-		service.keeper.SetUpstreams(all)
+	keeper := service.keeper
+	service.mutex.Unlock()
+	if keeper != nil {
+		keeper.SetUpstreams(all)
 	}
 }
 
