Send nothing for a caller that has left

Cause: a broker's decision and the caller's leaving can come together; with an idle connection at hand the request was then written before the connection was closed. Change: the last step before the write looks whether anybody still waits.

--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -77,7 +77,7 @@
 // reportAnswer tells what the broker leads.
 type reportAnswer struct {
 	// Leads are the services that the VM is the broker of, with the term.
-	Leads     map[string]uint64 `cbor:"1,keyasint,omitempty"`
+	Leads map[string]uint64 `cbor:"1,keyasint,omitempty"`
 	// Newest are the revisions of the newest changes that the broker has received.
 	Newest []uint64 `cbor:"4,keyasint,omitempty"`
 	// Changes are those that the asking VM misses, in the order of the followers.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -74,7 +74,7 @@
 	tenancies []*tenancy // in the order of keys
 	upstreams map[string]broker.Upstream
 	addresses map[string]broker.Upstream // of all services: the last one to start at each address
-	busy      map[string]bool // owners with a grant call under way
+	busy      map[string]bool            // owners with a grant call under way
 	sent      map[*sentGrant]struct{}
 	work      map[string]time.Duration // mean time of one request, by owner
 	first     time.Time                // when the first upstream was seen
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -144,6 +144,13 @@
 		return nil, &NotSentError{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	if ctx.Err() != nil {
+		// The caller has left, or its time is over: an idle connection is at hand
+		// without a wait that would have noticed it.
+		stop()
+		_ = conn.Close()
+		return nil, &NotSentError{Cause: context.Cause(ctx)}
+	}
 	response, err := sender.exchange(conn, request)
 	if err != nil {
 		stop()
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -276,3 +277,31 @@
 	assert.Equal(t, len(response.Body)+len(rest), 1<<20)
 	assert.NilError(t, response.Rest.Close())
 }
+
+// A broker may give out a slot just when the caller leaves. A request of a caller that
+// has left must not reach an upstream, also when an idle connection is at hand.
+func TestNothingIsSentForACallerThatHasLeft(t *testing.T) {
+	const tries = 20
+	var received atomic.Int32
+	script := func(conn net.Conn, requests *bufio.Reader) {
+		for answer(conn, requests, good) != nil {
+			received.Add(1)
+		}
+	}
+	scripts := make([]func(net.Conn, *bufio.Reader), tries+1)
+	for i := range scripts {
+		scripts[i] = script
+	}
+	target, sent := listen(t, scripts...), newSender()
+	left, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range tries {
+		_, err := sent.Send(t.Context(), target, request("1"))
+		assert.NilError(t, err)
+		_, err = sent.Send(left, target, request("1"))
+		var notSent *sender.NotSentError
+		assert.Assert(t, errors.As(err, &notSent), "%v", err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, received.Load(), int32(tries))
+}
--- a/internal/storer/follower.go
+++ b/internal/storer/follower.go
@@ -52,7 +52,7 @@
 	listedAt time.Time // when the last list that succeeded began
 	// regainedAt is when the store was last regained, here or for other VMs.
 	regainedAt time.Time
-	recent   recent
+	recent     recent
 }
 
 const (
@@ -126,7 +126,7 @@
 	}
 }
 
-// Listed returns how long ago the last list that succeeded began. ok is false
+// ListedAgo returns how long ago the last list that succeeded began. ok is false
 // while the follower has listed nothing.
 func (follower *Follower) ListedAgo() (ago time.Duration, ok bool) {
 	follower.mutex.Lock()
--- a/pkg/broker/zone_test.go
+++ b/pkg/broker/zone_test.go
@@ -25,7 +25,7 @@
 var zoneNames = []string{"a", "b", "c", "d", "e"}
 
 func (load *load) play(t *testing.T, span time.Duration) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		const perZone, slots, work = 5, 3, 0.21
 		random := rand.New(rand.NewPCG(1, 2))
 		list := upstreams(len(zoneNames)*perZone, slots)
