Make no calls for each upstream that registers while the system starts

Change: until a service has had its first broker, VMs rely on their lists for as long as the first claims take; only the claims are watched.

--- a/internal/allocator/lead.go
+++ b/internal/allocator/lead.go
@@ -66,6 +66,7 @@
 func (allocator *Allocator) Follow() *storer.Follower {
 	return &storer.Follower{
 		Store: allocator.Store, Kind: KindBrokers, Clock: allocator.Clock, Log: allocator.Log, Pause: func() time.Duration { return claimPause },
+		Relayed: allocator.relayedClaims,
 		Listed: func(objects []storer.Object) {
 			for _, object := range objects {
 				allocator.see(object)
--- a/internal/allocator/relay.go
+++ b/internal/allocator/relay.go
@@ -18,6 +18,10 @@
 	// relayGrace is how long after its own list a VM waits for brokers to pass changes
 	// on before it watches: two reports and the calls for them.
 	relayGrace = 2*reportInterval + 100*time.Millisecond
+	// firstGrace is the same when no service has had a broker yet: while the whole
+	// system starts, upstreams register one after the other, and each would take a call
+	// of each VM.
+	firstGrace = firstClaimWait + maxStagger + relayGrace
 	// maxRelayed bounds the bytes of the changes in one answer. Larger ones are read
 	// from the store, which is cheaper than traffic between zones.
 	maxRelayed = 16 << 10
@@ -33,7 +37,11 @@
 			return false
 		}
 	}
-	if listedAgo < relayGrace {
+	grace := relayGrace
+	if !allocator.claimed() {
+		grace = firstGrace
+	}
+	if listedAgo < grace {
 		return true
 	}
 	now := allocator.Clock.Now()
@@ -47,6 +55,19 @@
 	return false
 }
 
+// relayedClaims is Relayed for the claims themselves: without one there is no broker
+// that could pass the first ones on.
+func (allocator *Allocator) relayedClaims(listedAgo time.Duration) bool {
+	return allocator.claimed() && allocator.Relayed(listedAgo)
+}
+
+// claimed reports whether any service has had a broker.
+func (allocator *Allocator) claimed() bool {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	return len(allocator.claims) > 0
+}
+
 // relay takes over what a broker has told of the store.
 func (allocator *Allocator) relay(answer reportAnswer) {
 	for i, follower := range allocator.Followers {
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -203,7 +203,9 @@
 		edge.enroller.Follow(), edge.allocator.Follow(),
 	}
 	for _, follower := range edge.allocator.Followers {
-		follower.Relayed = edge.allocator.Relayed
+		if follower.Relayed == nil {
+			follower.Relayed = edge.allocator.Relayed
+		}
 	}
 	edge.sender = &sender.Sender{Clock: edge.Clock, Protocol: edge.Protocol, Dial: edge.Dial}
 	edge.courier = &courier.Courier{
