--- a/internal/allocator/lead.go
+++ b/internal/allocator/lead.go
@@ -13,7 +13,6 @@
 	"github.com/cuminstream/cuminstream/internal/keeper"
 	"github.com/cuminstream/cuminstream/internal/storer"
 	"github.com/cuminstream/cuminstream/pkg/budgeter"
-	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
 const (
@@ -25,11 +24,6 @@
 	lostLedgerInterval = time.Second
 	// tendInterval is the time between two looks at the brokers.
 	tendInterval = 100 * time.Millisecond
-	// probeTimeout bounds a look whether the store answers before a resignation,
-	// which takes milliseconds when the store is well, and probeInterval is the time
-	// between two looks.
-	probeTimeout  = 400 * time.Millisecond
-	probeInterval = 250 * time.Millisecond
 	// suspicion is how long a broker must be silent before it is replaced.
 	suspicion = 200 * time.Millisecond
 	// stagger is the delay of each further candidate for a vacant service, so
@@ -405,71 +399,3 @@
 // budgetShare is the part of the allowed repeats that brokers give out. The rest
 // is for VMs that cannot ask.
 const budgetShare = 0.7
-
-// resign lets other VMs take over the services of this one.
-func (allocator *Allocator) resign(ctx context.Context) {
-	allocator.mutex.Lock()
-	allocator.stopping = true
-	allocator.mutex.Unlock()
-	ctx, cancel := clocker.WithTimeout(ctx, allocator.Clock, allocator.StopTimeout)
-	defer cancel()
-	var resigning errgroup.Group
-	for _, service := range allocator.all() {
-		resigning.Go(func() error {
-			service.resign(ctx)
-			return nil
-		})
-	}
-	_ = resigning.Wait() // the functions return no error
-}
-
-// named returns the claim, and whether it names this process.
-func (service *service) named() (claim storedClaim, ok bool) {
-	service.mutex.Lock()
-	defer service.mutex.Unlock()
-	claim = service.claim
-	return claim, claim.Broker == service.allocator.VM && claim.Boot == service.allocator.Boot
-}
-
-// awaitStore returns once the store answers, the service has another broker, or ctx
-// ends. Nobody could follow this broker without the store, so that its keys would
-// have no owner as soon as their grants run out.
-func (service *service) awaitStore(ctx context.Context) {
-	allocator := service.allocator
-	for ctx.Err() == nil {
-		if _, ok := service.named(); !ok {
-			return
-		}
-		bound, cancel := clocker.WithTimeout(ctx, allocator.Clock, probeTimeout)
-		_, err := allocator.Store.Get(bound, KindBrokers, service.name)
-		cancel()
-		if err == nil {
-			return
-		}
-		allocator.Log.Warn("stays the broker during its stop: the store does not answer", "service", service.name, "error", err.Error())
-		_ = clocker.Sleep(ctx, allocator.Clock, probeInterval) // the loop checks ctx
-	}
-}
-
-func (service *service) resign(stop context.Context) {
-	allocator := service.allocator
-	service.awaitStore(stop)
-	claim, ok := service.named()
-	if !ok {
-		return
-	}
-	exposed := service.halt()
-	service.mutex.Lock()
-	service.leading = false
-	service.mutex.Unlock()
-	ctx, cancel := clocker.WithTimeout(context.Background(), allocator.Clock, time.Second)
-	defer cancel()
-	vacant := Claim{Boot: allocator.Boot, Term: claim.Term, ExposedMs: exposed.Milliseconds()}
-	revision, ok := service.writeClaim(ctx, claim, vacant)
-	if !ok {
-		allocator.Log.Warn("resignation as broker not written", "service", service.name, "term", claim.Term)
-		return
-	}
-	allocator.Log.Info("resigned as broker", "service", service.name, "term", claim.Term)
-	service.see(storedClaim{vacant, revision})
-}
--- /dev/null
+++ b/internal/allocator/world_test.go
@@ -0,0 +1,334 @@
+package allocator_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/internal/allocator"
+	"github.com/cuminstream/cuminstream/internal/keeper"
+	"github.com/cuminstream/cuminstream/internal/linker"
+	"github.com/cuminstream/cuminstream/internal/storer"
+	"github.com/cuminstream/cuminstream/pkg/broker"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+	"github.com/cuminstream/cuminstream/pkg/matcher"
+)
+
+var errCut = errors.New("the way is cut")
+
+// system is a set of VMs that call each other in memory, over CBOR as over links.
+type system struct {
+	mutex   sync.Mutex
+	vms     map[string]*vm
+	objects map[string]storer.Object
+	last    uint64
+	writes  int
+	shares  map[string]float64 // processor of VMs, in cores
+}
+
+type vm struct {
+	*allocator.Allocator
+	system   *system
+	name     string
+	handlers map[string]linker.CallHandler
+	links    map[string]chan struct{}
+	cut      bool // from all other VMs
+	noStore  bool
+	silent   bool   // calls of the store end with their time limit
+	config   uint64 // revision of the configuration that the VM has heard of
+	calls    int    // of the store, for the configuration
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+// Handle implements linker.Registrar.
+func (vm *vm) Handle(method string, handler linker.CallHandler) { vm.handlers[method] = handler }
+
+// Call implements allocator.Peers.
+func (vm *vm) Call(ctx context.Context, name, method string, body, answer any) error {
+	vm.system.mutex.Lock()
+	other := vm.system.vms[name]
+	cut := other == nil || vm.cut || other.cut
+	vm.system.mutex.Unlock()
+	time.Sleep(time.Millisecond)
+	if cut {
+		select {
+		case <-ctx.Done():
+		case <-vm.link(name):
+		}
+		return errCut
+	}
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	value, err := other.handlers[method](ctx, vm.name, func(into any) error { return cbor.Unmarshal(data, into) })
+	if err != nil || answer == nil {
+		return err
+	}
+	if data, err = cbor.Marshal(value); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, answer)
+}
+
+// link returns a channel that is closed when the link to the other VM is dropped.
+func (vm *vm) link(name string) chan struct{} {
+	vm.system.mutex.Lock()
+	defer vm.system.mutex.Unlock()
+	if vm.links[name] == nil {
+		vm.links[name] = make(chan struct{})
+	}
+	return vm.links[name]
+}
+
+// Drop implements allocator.Peers.
+func (vm *vm) Drop(name string) {
+	close(vm.link(name))
+	vm.system.mutex.Lock()
+	defer vm.system.mutex.Unlock()
+	delete(vm.links, name)
+}
+
+// VMs implements allocator.Members.
+func (vm *vm) VMs() []string {
+	vm.system.mutex.Lock()
+	defer vm.system.mutex.Unlock()
+	var names []string
+	for name := range vm.system.vms {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// CPUShare implements allocator.Members.
+func (vm *vm) CPUShare(name string) float64 { return vm.system.shares[name] }
+
+// store is the object store as one VM reaches it.
+type store struct {
+	storer.Store
+	vm *vm
+}
+
+func (store store) lock() (unlock func(), err error) {
+	time.Sleep(2 * time.Millisecond)
+	store.vm.system.mutex.Lock()
+	if store.vm.noStore {
+		silent := store.vm.silent
+		store.vm.system.mutex.Unlock()
+		if silent {
+			time.Sleep(1500 * time.Millisecond)
+		}
+		return nil, fmt.Errorf("%w: status 503", storer.ErrRefused)
+	}
+	return store.vm.system.mutex.Unlock, nil
+}
+
+func (store store) List(_ context.Context, kind string) ([]storer.Object, uint64, error) {
+	store.count(kind)
+	return store.list(kind)
+}
+
+// count counts a call.
+func (store store) count(kind string) {
+	store.vm.system.mutex.Lock()
+	defer store.vm.system.mutex.Unlock()
+	if kind == "config" {
+		store.vm.calls++
+	}
+}
+
+func (store store) list(kind string) ([]storer.Object, uint64, error) {
+	unlock, err := store.lock()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer unlock()
+	var objects []storer.Object
+	for key, object := range store.vm.system.objects {
+		if key == kind+"/"+object.Name {
+			objects = append(objects, object)
+		}
+	}
+	return objects, store.vm.system.last, nil
+}
+
+func (store store) ListStale(ctx context.Context, kind string) ([]storer.Object, uint64, error) {
+	return store.List(ctx, kind)
+}
+
+func (store store) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+	store.count(kind)
+	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		objects, at, err := store.list(kind)
+		if err != nil {
+			return nil, 0, err
+		}
+		var changes []storer.Change
+		for _, object := range objects {
+			if object.Revision > after {
+				changes = append(changes, storer.Change{Object: object})
+			}
+		}
+		if len(changes) > 0 {
+			return changes, at, nil
+		}
+	}
+	return nil, after, ctx.Err()
+}
+
+func (store store) Get(_ context.Context, kind, name string) (storer.Object, error) {
+	unlock, err := store.lock()
+	if err != nil {
+		return storer.Object{}, err
+	}
+	defer unlock()
+	object, ok := store.vm.system.objects[kind+"/"+name]
+	if !ok {
+		return object, storer.ErrNotFound
+	}
+	return object, nil
+}
+
+func (store store) Create(ctx context.Context, kind, name string, spec any) (storer.Object, error) {
+	return store.Replace(ctx, kind, name, 0, spec)
+}
+
+func (store store) Replace(_ context.Context, kind, name string, revision uint64, spec any) (storer.Object, error) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return storer.Object{}, err
+	}
+	unlock, err := store.lock()
+	if err != nil {
+		return storer.Object{}, err
+	}
+	defer unlock()
+	system := store.vm.system
+	if system.objects[kind+"/"+name].Revision != revision {
+		return storer.Object{}, storer.ErrConflict
+	}
+	system.last++
+	system.writes++
+	object := storer.Object{Kind: kind, Name: name, Revision: system.last, Spec: data}
+	system.objects[kind+"/"+name] = object
+	return object, nil
+}
+
+// granter accepts every grant.
+type granter struct{}
+
+func (granter) Grant(context.Context, keeper.Owner, keeper.Grant) error { return nil }
+
+func (granter) Release(context.Context, keeper.Owner, keeper.Range, uint64) (string, error) {
+	return "token", nil
+}
+
+func (system *system) start(name string) *vm {
+	started := &vm{system: system, name: name, handlers: map[string]linker.CallHandler{}, links: map[string]chan struct{}{}, done: make(chan struct{})}
+	started.Allocator = &allocator.Allocator{
+		VM: name, Zone: "a", Boot: fmt.Sprint(name, "-", time.Now().UnixNano()), Clock: clocker.System{}, Log: slog.New(slog.DiscardHandler),
+		Store: store{vm: started}, Peers: started, Members: started, Granter: granter{}, StopTimeout: 4 * time.Second,
+	}
+	started.Followers = []*storer.Follower{{
+		Store: store{vm: started}, Kind: "config", Clock: clocker.System{}, Log: started.Log,
+		Listed: func(objects []storer.Object) {
+			for _, object := range objects {
+				started.hear(object)
+			}
+		},
+		Changed: func(change storer.Change) { started.hear(change.Object) }, Poll: started.Polls, Relayed: started.Relayed,
+	}}
+	started.Tune(10*time.Second, 0.2, 50, 10*time.Second, 2*time.Second)
+	started.Init(started)
+	system.mutex.Lock()
+	system.vms[name] = started
+	system.mutex.Unlock()
+	started.SetDocument(&matcher.Document{Services: map[string]matcher.Service{"keyed": {Name: "keyed", Keyed: true}, "plain": {Name: "plain"}}})
+	var upstreams []broker.Upstream
+	for _, service := range []string{"keyed", "plain"} {
+		for i := range 4 {
+			upstreams = append(upstreams, broker.Upstream{ID: fmt.Sprint(service, i), Born: 1, Service: service, Address: fmt.Sprint(service, i, ":80"), Zone: "a", Slots: 1})
+		}
+	}
+	started.SetUpstreams(upstreams)
+	ctx, stop := context.WithCancel(context.Background())
+	started.stop = stop
+	go func() {
+		defer close(started.done)
+		go func() { _ = started.Follow().Run(ctx) }()
+		go func() { _ = started.Followers[0].Run(ctx) }()
+		_ = started.Run(ctx)
+	}()
+	return started
+}
+
+// hear records the configuration.
+func (vm *vm) hear(object storer.Object) {
+	vm.system.mutex.Lock()
+	defer vm.system.mutex.Unlock()
+	vm.config = object.Revision
+}
+
+// configure writes a configuration and returns its revision.
+func (system *system) configure() uint64 {
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	system.last++
+	system.objects["config/main"] = storer.Object{Kind: "config", Name: "main", Revision: system.last, Spec: []byte("{}")}
+	return system.last
+}
+
+func (vm *vm) end() {
+	vm.stop()
+	<-vm.done
+}
+
+func run(t *testing.T, count int, test func(t *testing.T, system *system, vms []*vm)) {
+	runWithShares(t, count, map[string]float64{}, test)
+}
+
+// runWithShares starts VMs one after the other.
+func runWithShares(t *testing.T, count int, shares map[string]float64, test func(t *testing.T, system *system, vms []*vm)) {
+	synctest.Test(t, func(t *testing.T) {
+		system := &system{vms: map[string]*vm{}, objects: map[string]storer.Object{}, shares: shares}
+		var vms []*vm
+		for i := range count {
+			vms = append(vms, system.start(fmt.Sprint("vm", i)))
+			time.Sleep(30 * time.Millisecond)
+		}
+		time.Sleep(4 * time.Second)
+		test(t, system, vms)
+		for _, vm := range vms {
+			vm.end()
+		}
+		time.Sleep(time.Minute) // calls and watches that are still under way
+	})
+}
+
+// claim returns the recorded broker of a service.
+func (system *system) claim(t *testing.T, service string) allocator.Claim {
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	var claim allocator.Claim
+	assert.NilError(t, json.Unmarshal(system.objects[allocator.KindBrokers+"/"+service].Spec, &claim))
+	return claim
+}
+
+func ask(ctx context.Context, vm *vm, service string, key int) (ticket uint64, by string) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	slot := vm.Ask(ctx, service, broker.Ask{VM: vm.name, Zone: "a", Key: key, Target: time.Second, Left: 2 * time.Second})
+	return slot.Ticket, slot.Broker
+}
