Bound the memory of the changes that brokers pass on

Change: at most 128 KB of changes are kept for each kind; older ones are read from the store. Figures: TestLargeChangesAreNotKept.

--- a/internal/storer/relay.go
+++ b/internal/storer/relay.go
@@ -10,17 +10,27 @@
 // errOutdated means that a list is older than what other VMs have passed on.
 var errOutdated = errors.New("the list is older than what is known")
 
-// maxRecent is the number of changes that a follower can pass on. VMs ask for them
-// every few tenths of a second.
-const maxRecent = 256
+const (
+	// maxRecent is the number of changes that a follower can pass on. VMs ask for them
+	// every few tenths of a second.
+	maxRecent = 256
+	// maxRecentBytes bounds their memory. Large objects, such as a configuration with
+	// thousands of routes, are read from the store anyway.
+	maxRecentBytes = 128 << 10
+)
 
 // recent holds the newest changes of a kind, for VMs that do not watch the store.
 type recent struct {
 	known   map[string]uint64 // revisions of all objects, by name
 	changes []Change          // in the order of their revisions
+	bytes   int               // of the changes
 	after   uint64            // no change above this revision is missing
 }
 
+func size(change Change) int {
+	return len(change.Object.Name) + len(change.Object.Spec) + len(change.Object.Status)
+}
+
 // add records a change.
 func (recent *recent) add(change Change) {
 	if change.Deleted {
@@ -29,10 +39,14 @@
 		recent.known[change.Object.Name] = change.Object.Revision
 	}
 	recent.changes = append(recent.changes, change)
-	if excess := len(recent.changes) - maxRecent; excess > 0 {
-		recent.after = recent.changes[excess-1].Object.Revision
-		recent.changes = slices.Delete(recent.changes, 0, excess)
-	}
+	recent.bytes += size(change)
+	excess := 0
+	for len(recent.changes)-excess > maxRecent || recent.bytes > maxRecentBytes {
+		recent.bytes -= size(recent.changes[excess])
+		recent.after = recent.changes[excess].Object.Revision
+		excess++
+	}
+	recent.changes = slices.Delete(recent.changes, 0, excess)
 }
 
 // replace records a list of all objects at a revision of the store, by its
--- a/internal/storer/relay_test.go
+++ b/internal/storer/relay_test.go
@@ -268,3 +268,23 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Large changes are not kept: a storm of configurations with thousands of routes would
+// take the memory of the VM.
+func TestLargeChangesAreNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		objects := newObjects()
+		objects.put("main")
+		source, _ := objects.view(ctx, false)
+		time.Sleep(50 * time.Millisecond)
+		source.Relay([]storer.Change{{Object: storer.Object{Name: "main", Revision: 2, Spec: make([]byte, 200<<10)}}})
+		_, ok := source.Since(1)
+		assert.Assert(t, !ok)
+		source.Relay([]storer.Change{{Object: storer.Object{Name: "main", Revision: 3, Spec: make([]byte, 1000)}}})
+		changes, ok := source.Since(2)
+		assert.Assert(t, ok && len(changes) == 1)
+		stop()
+		time.Sleep(time.Second)
+	})
+}
