Send nothing to an upstream that is known to have left for half a second

Since brokers pass changes on, they hear of it up to 0.45 s later, and up to 1.6 s when the listing broker is lost. Change: the time counts from the last report before a VM has heard of it, the reserve is 1.5 s of the 2 s, and what the listing broker knows must be younger than 1.25 s. Figures: TestNothingIsSentToAnUpstreamThatHasLeft failed first (a slot 501 ms after it was known).

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -57,6 +57,7 @@
 	mutex     sync.Mutex
 	tunables  tunables
 	leaving   map[string]time.Time // upstreams known to leave or be gone, since when
+	heard     time.Time            // when a broker last passed on what it knows of the store
 	services  map[string]*service
 	claims    map[string]storedClaim
 	upstreams []broker.Upstream
@@ -100,8 +101,9 @@
 	// leavingMemory is how long an upstream that is gone is remembered.
 	leavingMemory = time.Minute
 	// drainReserve is the part of the time that a leaving upstream goes on serving
-	// in which it gets no more requests.
-	drainReserve = time.Second
+	// in which it gets no more requests: for a connection attempt (0.5 s) and the way
+	// of the request. Brokers move its keys within half a second.
+	drainReserve = 1500 * time.Millisecond
 	// leftRetryAfter is the hint to callers whose key belongs to an upstream that
 	// has left.
 	leftRetryAfter = 400 * time.Millisecond
@@ -163,7 +165,11 @@
 
 // noteLeaving remembers since when upstreams are known to leave. The mutex is held.
 func (allocator *Allocator) noteLeaving(upstreams []broker.Upstream) {
+	// The upstreams may have left at any time since this VM last heard of the store.
 	now := allocator.Clock.Now()
+	if !allocator.heard.IsZero() && now.Sub(allocator.heard) < leavingMemory {
+		now = allocator.heard
+	}
 	leaving := map[string]time.Time{}
 	present := map[string]bool{}
 	for _, upstream := range upstreams {
--- a/internal/allocator/relay.go
+++ b/internal/allocator/relay.go
@@ -14,7 +14,7 @@
 	// relayedFor is the greatest age of what the listing broker knows. With the time
 	// until the next look and one list, a change that is not passed on is still in
 	// force within the 2 s that operators are promised.
-	relayedFor = 1400 * time.Millisecond
+	relayedFor = 1250 * time.Millisecond
 	// relayGrace is how long after its own list a VM waits for brokers to pass changes
 	// on before it watches: two reports and the calls for them.
 	relayGrace = 2*reportInterval + 100*time.Millisecond
--- a/internal/allocator/relay_test.go
+++ b/internal/allocator/relay_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/pkg/broker"
 )
 
 // heard asserts that all VMs but those without the store have the configuration
@@ -133,3 +135,29 @@
 		heard(t, system, vms, system.configure(), "after the outage")
 	})
 }
+
+// DRAIN on lochside-gw, scale-2, played on 2026-12-04: while the broker of the keyed
+// service stopped, VMs assigned slots themselves and went on sending to an owner that
+// they knew to leave; one request reached it 2.06 s after it had said so. A VM hears of
+// it up to 1.45 s late, and a connection may take 0.5 s: it gives such slots back.
+func TestNothingIsSentToAnUpstreamThatHasLeft(t *testing.T) {
+	run(t, 3, func(t *testing.T, system *system, vms []*vm) {
+		former := system.claim(t, "plain").Broker
+		for _, vm := range vms {
+			if vm.name == former {
+				continue
+			}
+			time.Sleep(300 * time.Millisecond) // since the last report
+			known := time.Now()
+			vm.SetUpstreams([]broker.Upstream{{ID: "plain0", Born: 1, Service: "plain", Address: "plain0:80", Zone: "a", Slots: 1, Draining: true}})
+			time.Sleep(500 * time.Millisecond)
+			for range 8 { // the broker does not know it yet
+				slot := vm.Ask(t.Context(), "plain", broker.Ask{VM: vm.name, Zone: "a", Key: broker.NoKey, Target: time.Second, Left: time.Second})
+				assert.Assert(t, slot.Ticket == 0 || slot.Upstream.ID != "plain0", "a slot %v after it was known", time.Since(known))
+				if slot.Ticket > 0 {
+					vm.Done("plain", slot, broker.Result{Ticket: slot.Ticket, Outcome: broker.Served, Elapsed: time.Millisecond})
+				}
+			}
+		}
+	})
+}
--- a/internal/allocator/report.go
+++ b/internal/allocator/report.go
@@ -66,6 +66,11 @@
 	}
 	allocator.mutex.Unlock()
 	allocator.relay(answer)
+	if err == nil && answer.StoreLost == 0 {
+		allocator.mutex.Lock()
+		allocator.heard = now
+		allocator.mutex.Unlock()
+	}
 	switch {
 	case err == nil && !was.IsZero():
 		allocator.Log.Info("broker VM regained", "peer", vm, "lostForMs", now.Sub(was).Milliseconds())
