--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,295 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// keyCount is the number of keys of a keyed service.
+	keyCount = 1 << 16
+	// serverQueue is how many requests a server lets wait.
+	serverQueue = 8
+	// heartbeat is the interval at which servers write to the store.
+	heartbeat = 870 * time.Millisecond
+)
+
+// Server is a stand-in of a server, which follows PROTOCOL.md.
+type Server struct {
+	Record  *Record
+	Store   *Store
+	ID      string
+	Service string
+	Zone    string
+	Keyed   bool
+	Slots   int
+	Work    time.Duration
+	// AnswerBytes is the length of the body of an answer.
+	AnswerBytes int
+
+	Address  string
+	born     int64
+	http     *http.Server
+	mutex    sync.Mutex
+	up       bool
+	state    string
+	sequence int
+	waiting  int
+	tokens   chan struct{}
+	seen     []uint64    // the highest fence number, by key
+	until    []time.Time // the end of the hold, by key
+	held     []uint64    // the fence number of the hold, by key
+	running  map[int]int // running requests, by key
+	idle     *sync.Cond  // signals that a request has ended
+	stopBeat chan struct{}
+	ran      map[string]int // runs, by request
+}
+
+// Start listens, registers the server and keeps its entry fresh.
+func (server *Server) Start() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server.Address, server.born = listener.Addr().String(), time.Now().UnixMilli()
+	server.up, server.state = true, "ready"
+	server.tokens = make(chan struct{}, server.Slots)
+	server.seen, server.held, server.until = make([]uint64, keyCount), make([]uint64, keyCount), make([]time.Time, keyCount)
+	server.running, server.ran = map[int]int{}, map[string]int{}
+	server.idle = sync.NewCond(&server.mutex)
+	server.stopBeat = make(chan struct{})
+	server.http = &http.Server{Handler: server}
+	go func() { _ = server.http.Serve(listener) }()
+	server.beat()
+	go func() {
+		ticker := time.NewTicker(heartbeat)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				server.beat()
+			case <-server.stopBeat:
+				return
+			}
+		}
+	}()
+	return nil
+}
+
+// beat writes the server's entry.
+func (server *Server) beat() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if !server.up {
+		return
+	}
+	server.sequence++
+	server.Store.Put("servers", server.ID, map[string]any{
+		"addr": server.Address, "born": server.born,
+		"info": map[string]any{"service": server.Service, "version": "v1", "zone": server.Zone, "max-concurrency": server.Slots},
+	}, map[string]any{"state": server.state, "sequence": server.sequence, "warmup-left-s": 0})
+}
+
+// Drain reports the planned shutdown. The server goes on serving.
+func (server *Server) Drain() {
+	server.mutex.Lock()
+	server.state = "draining"
+	server.mutex.Unlock()
+	server.beat()
+	server.Record.Linef("server %s: reports draining", server.ID)
+}
+
+// Leave ends the server and removes its entry.
+func (server *Server) Leave() {
+	server.mutex.Lock()
+	server.up = false
+	server.mutex.Unlock()
+	close(server.stopBeat)
+	_ = server.http.Close()
+	server.Store.Remove("servers", server.ID)
+	server.Record.Linef("server %s: has left", server.ID)
+}
+
+// Holds reports whether the server is up and holds the key, and the fence number.
+func (server *Server) Holds(key int, now time.Time) (fence uint64, ok bool) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.held[key], server.up && now.Before(server.until[key])
+}
+
+// ServeHTTP implements http.Handler.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	switch request.URL.Path {
+	case "/api/grant", "/api/release":
+		server.serveOrder(writer, request)
+	case "/health":
+		writer.Header().Set("Cuminstream-Instance-Id", server.ID)
+	default:
+		server.serveRequest(writer, request)
+	}
+}
+
+func (server *Server) serveOrder(writer http.ResponseWriter, request *http.Request) {
+	if target := request.Header.Get("Cuminstream-Target-Instance"); target != "" && target != server.ID {
+		server.refuse(writer, http.StatusMisdirectedRequest)
+		return
+	}
+	var body struct {
+		From, To int
+		Fence    uint64
+		Hold     float64 `json:"hold-s"`
+	}
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil || body.From < 0 || body.To >= keyCount || body.From > body.To || body.Hold > 10 {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if request.URL.Path == "/api/release" {
+		for key := body.From; key <= body.To; key++ {
+			server.seen[key] = max(server.seen[key], body.Fence)
+			server.until[key] = time.Time{}
+		}
+		for server.busy(body.From, body.To) {
+			server.idle.Wait()
+		}
+		server.Record.Linef("server %s: released %d-%d fence %d", server.ID, body.From, body.To, body.Fence)
+		writer.Header().Set("Cuminstream-Handover", fmt.Sprint("handover-", body.Fence))
+		return
+	}
+	for key := body.From; key <= body.To; key++ {
+		if server.seen[key] > body.Fence {
+			server.Record.Linef("server %s: refused %d-%d fence %d, has seen %d", server.ID, body.From, body.To, body.Fence, server.seen[key])
+			writer.WriteHeader(http.StatusConflict)
+			return
+		}
+	}
+	until := time.Now().Add(time.Duration(body.Hold * float64(time.Second)))
+	isNew := server.until[body.From].IsZero() || server.held[body.From] != body.Fence
+	for key := body.From; key <= body.To; key++ {
+		server.seen[key], server.held[key], server.until[key] = body.Fence, body.Fence, until
+	}
+	if isNew {
+		server.Record.Linef("server %s: granted %d-%d fence %d for %.1f s", server.ID, body.From, body.To, body.Fence, body.Hold)
+	}
+}
+
+// busy reports whether requests on the keys are running. The mutex is held.
+func (server *Server) busy(from, to int) bool {
+	for key := range server.running {
+		if key >= from && key <= to {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse answers a request that does not run.
+func (server *Server) refuse(writer http.ResponseWriter, status int) {
+	writer.Header().Set("Cuminstream-Not-Executed", "1")
+	writer.Header().Set("Cuminstream-Instance-Id", server.ID)
+	writer.WriteHeader(status)
+}
+
+func (server *Server) serveRequest(writer http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("Cuminstream-Request-Id")
+	writer.Header().Set("Cuminstream-Request-Id", id)
+	target := request.Header.Get("Cuminstream-Target-Instance")
+	if target != "" && target != server.ID {
+		server.refuse(writer, http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" {
+		server.refuse(writer, http.StatusBadRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	if !server.join() {
+		server.refuse(writer, http.StatusServiceUnavailable)
+		return
+	}
+	defer server.leave()
+	select {
+	case server.tokens <- struct{}{}:
+	case <-request.Context().Done():
+		return
+	}
+	defer func() { <-server.tokens }()
+	key := -1
+	if server.Keyed {
+		var err error
+		if key, err = strconv.Atoi(request.Header.Get("Cuminstream-Shard-Key")); err != nil || key < 0 || key >= keyCount || !server.begin(key) {
+			server.refuse(writer, http.StatusMisdirectedRequest)
+			return
+		}
+		defer server.end(key)
+	}
+	server.mutex.Lock()
+	server.ran[id]++
+	server.mutex.Unlock()
+	server.Record.Linef("server %s: runs %s %s %s key %d", server.ID, id, request.Method, request.RequestURI, key)
+	select {
+	case <-time.After(server.Work):
+	case <-request.Context().Done():
+		return
+	}
+	body := make([]byte, server.AnswerBytes)
+	for i := range body {
+		body[i] = byte('a' + i%26)
+	}
+	writer.Header().Set("Cuminstream-Response-Seal", fmt.Sprint("seal.", id))
+	writer.Header().Set("Cuminstream-Server-Load", fmt.Sprintf("%d,%d,%d", len(server.tokens)-1, 0, server.Slots))
+	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	written, err := writer.Write(body)
+	server.Record.Linef("server %s: answered %s with 200, %d bytes written, error %v", server.ID, id, written, err)
+}
+
+// join counts a request; it returns false if the queue is full.
+func (server *Server) join() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.waiting >= server.Slots+serverQueue {
+		return false
+	}
+	server.waiting++
+	return true
+}
+
+func (server *Server) leave() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.waiting--
+}
+
+// begin counts a running request on the key, unless the server does not hold it.
+func (server *Server) begin(key int) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if !time.Now().Before(server.until[key]) {
+		return false
+	}
+	server.running[key]++
+	return true
+}
+
+func (server *Server) end(key int) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.running[key]--; server.running[key] == 0 {
+		delete(server.running, key)
+	}
+	server.idle.Broadcast()
+}
+
+// Runs returns how often the request has run here.
+func (server *Server) Runs(id string) int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.ran[id]
+}
