--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -96,3 +96,16 @@
 	}
 	return nil
 }
+
+// Began returns when the request last began to run at a server.
+func (deployment *Deployment) Began(id string) (began time.Time, ran bool) {
+	for _, server := range deployment.Servers {
+		server.mutex.Lock()
+		at, ok := server.began[id]
+		server.mutex.Unlock()
+		if ok {
+			began, ran = at, true
+		}
+	}
+	return began, ran
+}
--- a/review/standin/edges.go
+++ b/review/standin/edges.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,10 +25,11 @@
 	// First is set when the whole system starts for the first time.
 	First bool
 
-	Front, Ready string
-	ports        [2]int
-	process      *exec.Cmd
-	ended        chan struct{}
+	Front, Ready  string
+	ports         [2]int
+	process       *exec.Cmd
+	ended         chan struct{}
+	outOfRotation atomic.Bool
 }
 
 // settings is the settings file of a small installation, with the fields that DEPLOY.md shows.
@@ -200,3 +202,25 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
+
+// Probe asks once a second whether the edge is ready, as the platform's balancer does,
+// until stop is closed. After two misses it gets no new connections.
+func (edge *Edge) Probe(stop <-chan struct{}) {
+	misses := 0
+	for {
+		if edge.IsReady() {
+			misses = 0
+		} else {
+			misses++
+		}
+		edge.outOfRotation.Store(misses >= 2)
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// InRotation reports whether the balancer gives the edge new connections.
+func (edge *Edge) InRotation() bool { return !edge.outOfRotation.Load() }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,8 +15,9 @@
 type play func(deployment *Deployment, trouble bool) (broken string, err error)
 
 var cases = map[string]play{
-	"foreign-entry": playForeignEntry,
-	"large-answer":  playLargeAnswer,
+	"foreign-entry":  playForeignEntry,
+	"large-answer":   playLargeAnswer,
+	"pipelined-stop": playPipelinedStop,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -48,7 +48,8 @@
 	running  map[int]int // running requests, by key
 	idle     *sync.Cond  // signals that a request has ended
 	stopBeat chan struct{}
-	ran      map[string]int // runs, by request
+	ran      map[string]int       // runs, by request
+	began    map[string]time.Time // when a request last began to run
 }
 
 // Start listens, registers the server and keeps its entry fresh.
@@ -62,6 +63,7 @@
 	server.tokens = make(chan struct{}, server.Slots)
 	server.seen, server.held, server.until = make([]uint64, keyCount), make([]uint64, keyCount), make([]time.Time, keyCount)
 	server.running, server.ran = map[int]int{}, map[string]int{}
+	server.began = map[string]time.Time{}
 	server.idle = sync.NewCond(&server.mutex)
 	server.stopBeat = make(chan struct{})
 	server.http = &http.Server{Handler: server}
@@ -232,6 +234,7 @@
 	}
 	server.mutex.Lock()
 	server.ran[id]++
+	server.began[id] = time.Now()
 	server.mutex.Unlock()
 	server.Record.Linef("server %s: runs %s %s %s key %d", server.ID, id, request.Method, request.RequestURI, key)
 	select {
