--- a/review/standin/foreign_entry.go
+++ b/review/standin/foreign_entry.go
@@ -8,6 +8,8 @@
 	"time"
 )
 
+func init() { cases["foreign-entry"] = playForeignEntry }
+
 // Overlap is a span of time in which two servers that are up hold the same key.
 type Overlap struct {
 	Key    int
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,11 +14,8 @@
 // play plays a case. broken tells what broke the rule; empty if it held.
 type play func(deployment *Deployment, trouble bool) (broken string, err error)
 
-var cases = map[string]play{
-	"foreign-entry":  playForeignEntry,
-	"large-answer":   playLargeAnswer,
-	"pipelined-stop": playPipelinedStop,
-}
+// cases are the plays, by name. Each registers itself.
+var cases = map[string]play{}
 
 func main() { os.Exit(run()) }
 
--- a/review/standin/pipelined_stop.go
+++ b/review/standin/pipelined_stop.go
@@ -11,6 +11,8 @@
 	"time"
 )
 
+func init() { cases["pipelined-stop"] = playPipelinedStop }
+
 const (
 	// pipelineInterval is the time between two requests on a connection. It is below the
 	// time that a server works, so that the next one is sent before the first is answered.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -16,6 +18,8 @@
 	keyCount = 1 << 16
 	// serverQueue is how many requests a server lets wait.
 	serverQueue = 8
+	// shortAnswer is the length of an answer to a path that ends with /short.
+	shortAnswer = 400
 	// heartbeat is the interval at which servers write to the store.
 	heartbeat = 870 * time.Millisecond
 )
@@ -48,7 +52,7 @@
 	running  map[int]int // running requests, by key
 	idle     *sync.Cond  // signals that a request has ended
 	stopBeat chan struct{}
-	ran      map[string]int       // runs, by request
+	loseNext func()               // see LoseCheckIn
 	began    map[string]time.Time // when a request last began to run
 }
 
@@ -62,7 +66,7 @@
 	server.up, server.state = true, "ready"
 	server.tokens = make(chan struct{}, server.Slots)
 	server.seen, server.held, server.until = make([]uint64, keyCount), make([]uint64, keyCount), make([]time.Time, keyCount)
-	server.running, server.ran = map[int]int{}, map[string]int{}
+	server.running = map[int]int{}
 	server.began = map[string]time.Time{}
 	server.idle = sync.NewCond(&server.mutex)
 	server.stopBeat = make(chan struct{})
@@ -92,10 +96,24 @@
 		return
 	}
 	server.sequence++
-	server.Store.Put("servers", server.ID, map[string]any{
+	if lose := server.loseNext; lose != nil {
+		server.loseNext = nil
+		lose()
+		return
+	}
+	server.Store.Put("servers", server.ID, server.spec(), server.status())
+}
+
+// spec and status return the parts of the entry. The mutex is held.
+func (server *Server) spec() map[string]any {
+	return map[string]any{
 		"addr": server.Address, "born": server.born,
 		"info": map[string]any{"service": server.Service, "version": "v1", "zone": server.Zone, "max-concurrency": server.Slots},
-	}, map[string]any{"state": server.state, "sequence": server.sequence, "warmup-left-s": 0})
+	}
+}
+
+func (server *Server) status() map[string]any {
+	return map[string]any{"state": server.state, "sequence": server.sequence, "warmup-left-s": 0}
 }
 
 // Drain reports the planned shutdown. The server goes on serving.
@@ -233,7 +251,6 @@
 		defer server.end(key)
 	}
 	server.mutex.Lock()
-	server.ran[id]++
 	server.began[id] = time.Now()
 	server.mutex.Unlock()
 	server.Record.Linef("server %s: runs %s %s %s key %d", server.ID, id, request.Method, request.RequestURI, key)
@@ -242,7 +259,7 @@
 	case <-request.Context().Done():
 		return
 	}
-	body := make([]byte, server.AnswerBytes)
+	body := make([]byte, server.answerLength(request.URL.Path))
 	for i := range body {
 		body[i] = byte('a' + i%26)
 	}
@@ -253,6 +270,14 @@
 	server.Record.Linef("server %s: answered %s with 200, %d bytes written, error %v", server.ID, id, written, err)
 }
 
+// answerLength returns the length of the body of an answer.
+func (server *Server) answerLength(path string) int {
+	if strings.HasSuffix(path, "/short") {
+		return min(server.AnswerBytes, shortAnswer)
+	}
+	return server.AnswerBytes
+}
+
 // join counts a request; it returns false if the queue is full.
 func (server *Server) join() bool {
 	server.mutex.Lock()
@@ -290,9 +315,12 @@
 	server.idle.Broadcast()
 }
 
-// Runs returns how often the request has run here.
-func (server *Server) Runs(id string) int {
+// Runs returns when each request began to run here.
+func (server *Server) Runs() map[string]time.Time {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	return server.ran[id]
+	return maps.Clone(server.began)
 }
+
+// Running returns how many requests are running.
+func (server *Server) Running() int { return len(server.tokens) }
