Review case 5: a late check-in sends new work to a server that leaves

Tried: one check-in of one server gets no answer and is carried out by the store 5.3 s later; 3.05 s after the lost answer this server reports draining. Three edges, six servers, 30 paid bookings a second, real processes on loopback.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -110,3 +110,32 @@
 		}()
 	}
 }
+
+// TrafficKept is Traffic over connections that are kept open. It passes each outcome to
+// done.
+func TrafficKept(ctx context.Context, deployment *Deployment, perSecond int, next func() Request, done func(Request, Outcome)) {
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	idle := map[*Edge]chan *Client{}
+	for _, edge := range deployment.Edges {
+		idle[edge] = make(chan *Client, 1000)
+	}
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		edge := deployment.Edges[i%len(deployment.Edges)]
+		go func() {
+			client := &Client{Record: deployment.Record, Edge: edge}
+			select {
+			case client = <-idle[edge]:
+			default:
+			}
+			request := next()
+			done(request, client.Send(request))
+			idle[edge] <- client
+		}()
+	}
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -37,14 +37,21 @@
 	}
 }
 
-// Configure writes a configuration, as the operator does. The columns are those of the
-// example of PROTOCOL.md.
+// routeColumns are the fields of a route.
+var routeColumns = []string{"name", "host", "path-prefix", "kind", "timeout-s", "target-latency-s", "priority", "max-attempts", "service", "traffic-split"}
+
+// Configure writes a configuration, as the operator does. A row of a route has the
+// values of routeColumns; the last ones may be left out.
 func (deployment *Deployment) Configure(version int, routes [][]any, services [][]any) {
+	for i, row := range routes {
+		for len(row) < len(routeColumns) {
+			row = append(row, nil) // null means omitted
+		}
+		routes[i] = row
+	}
 	deployment.Store.Put("config", "main", map[string]any{
-		"version": fmt.Sprint("r", version),
-		"routes": map[string]any{
-			"columns": []string{"name", "host", "path-prefix", "kind", "timeout-s", "target-latency-s", "priority", "max-attempts", "service"}, "rows": routes,
-		},
+		"version":  fmt.Sprint("r", version),
+		"routes":   map[string]any{"columns": routeColumns, "rows": routes},
 		"services": map[string]any{"columns": []string{"name", "health-path", "max-conns", "sharded", "warm-s"}, "rows": services},
 		"limits":   map[string]any{"header-bytes": 16384, "body-bytes": 67108864, "header-timeout-s": 3, "idle-timeout-s": 15},
 	}, nil)
@@ -109,3 +116,14 @@
 	}
 	return began, ran
 }
+
+// Runs returns how often the request has run at all servers.
+func (deployment *Deployment) Runs(id string) int {
+	runs := 0
+	for _, server := range deployment.Servers {
+		server.mutex.Lock()
+		runs += server.runs[id]
+		server.mutex.Unlock()
+	}
+	return runs
+}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,6 +37,8 @@
 	Work    time.Duration
 	// AnswerBytes is the length of the body of an answer.
 	AnswerBytes int
+	// Fault is nil for a sound server.
+	Fault *Fault
 
 	Address  string
 	born     int64
@@ -54,6 +57,7 @@
 	stopBeat chan struct{}
 	loseNext func()               // see LoseCheckIn
 	began    map[string]time.Time // when a request last began to run
+	runs     map[string]int       // how often a request has run
 }
 
 // Start listens, registers the server and keeps its entry fresh.
@@ -67,10 +71,10 @@
 	server.tokens = make(chan struct{}, server.Slots)
 	server.seen, server.held, server.until = make([]uint64, keyCount), make([]uint64, keyCount), make([]time.Time, keyCount)
 	server.running = map[int]int{}
-	server.began = map[string]time.Time{}
+	server.began, server.runs = map[string]time.Time{}, map[string]int{}
 	server.idle = sync.NewCond(&server.mutex)
 	server.stopBeat = make(chan struct{})
-	server.http = &http.Server{Handler: server}
+	server.http = &http.Server{Handler: server, ConnContext: connContext}
 	go func() { _ = server.http.Serve(listener) }()
 	server.beat()
 	go func() {
@@ -230,44 +234,69 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
-	if !server.join() {
-		server.refuse(writer, http.StatusServiceUnavailable)
+	work := func(ctx context.Context) (int, http.Header, []byte) { return server.work(ctx, request, id) }
+	if server.serveFaulty(writer, request, id, work) {
 		return
 	}
+	status, header, body := work(request.Context())
+	if status == 0 {
+		return // the connection has closed
+	}
+	for name, values := range header {
+		writer.Header()[name] = values
+	}
+	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(status)
+	written, err := writer.Write(body)
+	if status == http.StatusOK {
+		server.Record.Linef("server %s: answered %s with 200, %d bytes written, error %v", server.ID, id, written, err)
+	}
+}
+
+// work waits for a slot, runs the request and returns its answer. A status of 0 means
+// that ctx has ended.
+func (server *Server) work(ctx context.Context, request *http.Request, id string) (status int, header http.Header, body []byte) {
+	header = http.Header{"Cuminstream-Request-Id": {id}}
+	notExecuted := func(status int) (int, http.Header, []byte) {
+		header.Set("Cuminstream-Not-Executed", "1")
+		header.Set("Cuminstream-Instance-Id", server.ID)
+		return status, header, nil
+	}
+	if !server.join() {
+		return notExecuted(http.StatusServiceUnavailable)
+	}
 	defer server.leave()
 	select {
 	case server.tokens <- struct{}{}:
-	case <-request.Context().Done():
-		return
+	case <-ctx.Done():
+		return 0, nil, nil
 	}
 	defer func() { <-server.tokens }()
 	key := -1
 	if server.Keyed {
 		var err error
 		if key, err = strconv.Atoi(request.Header.Get("Cuminstream-Shard-Key")); err != nil || key < 0 || key >= keyCount || !server.begin(key) {
-			server.refuse(writer, http.StatusMisdirectedRequest)
-			return
+			return notExecuted(http.StatusMisdirectedRequest)
 		}
 		defer server.end(key)
 	}
 	server.mutex.Lock()
 	server.began[id] = time.Now()
+	server.runs[id]++
 	server.mutex.Unlock()
 	server.Record.Linef("server %s: runs %s %s %s key %d", server.ID, id, request.Method, request.RequestURI, key)
 	select {
 	case <-time.After(server.Work):
-	case <-request.Context().Done():
-		return
+	case <-ctx.Done():
+		return 0, nil, nil
 	}
-	body := make([]byte, server.answerLength(request.URL.Path))
+	body = make([]byte, server.answerLength(request.URL.Path))
 	for i := range body {
 		body[i] = byte('a' + i%26)
 	}
-	writer.Header().Set("Cuminstream-Response-Seal", fmt.Sprint("seal.", id))
-	writer.Header().Set("Cuminstream-Server-Load", fmt.Sprintf("%d,%d,%d", len(server.tokens)-1, 0, server.Slots))
-	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	written, err := writer.Write(body)
-	server.Record.Linef("server %s: answered %s with 200, %d bytes written, error %v", server.ID, id, written, err)
+	header.Set("Cuminstream-Response-Seal", fmt.Sprint("seal.", id))
+	header.Set("Cuminstream-Server-Load", fmt.Sprintf("%d,%d,%d", len(server.tokens)-1, 0, server.Slots))
+	return http.StatusOK, header, body
 }
 
 // answerLength returns the length of the body of an answer.
