Do not take a foreign entry for proof that a key owner has ended

Cause: Keeper.addressReused took any later entry at the owner's address as proof that the owner had ended. An entry of another writer, for a service that no configuration names, was enough.

Ruled out: a lost release or a late grant (no release was sent at all).

Change: the allocator drops entries of services that no configuration has defined, and lists them again when one defines the service. In addition, an entry proves nothing while the owner's incarnation is registered.

Why it works: an unregistered owner whose address has an entry of a configured service is the case that the platform guarantees; all others now wait for the release or the expiry.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -61,6 +61,10 @@
 	// revisions of other VMs when they are behind. Their order is the same on all VMs.
 	Followers []*storer.Follower
 
+	// updateMutex keeps updates of the list of upstreams in order. It is locked before
+	// mutex.
+	updateMutex sync.Mutex
+
 	mutex         sync.Mutex
 	tunables      tunables
 	drainingSince map[incarnation]time.Time // since when upstreams are draining or removed
@@ -68,8 +72,9 @@
 	services      map[string]*service
 	claims        map[string]storedClaim
 	claimsSince   time.Time // when this VM learned of the first claim; zero before
-	upstreams     []broker.Upstream
-	polling       bool // what ShouldPoll reported last
+	registered    []broker.Upstream // as listed in the store
+	upstreams     []broker.Upstream // those of registered whose service a configuration has defined
+	polling       bool              // what ShouldPoll reported last
 	peers         map[string]*peer
 	stopping      bool
 	// claimReadsFailingSince is when reads of this VM's own claims began to fail; zero
@@ -155,20 +160,39 @@
 
 // AddServices adds the services of a configuration that are not known yet.
 func (allocator *Allocator) AddServices(config *matcher.Config) {
+	allocator.updateMutex.Lock()
+	defer allocator.updateMutex.Unlock()
 	allocator.mutex.Lock()
-	defer allocator.mutex.Unlock()
+	added := false
 	for name, definition := range config.Services {
 		if allocator.services[name] == nil {
 			allocator.services[name] = allocator.newService(name, definition.Keyed)
+			added = true
 		}
 	}
+	registered := allocator.registered
+	allocator.mutex.Unlock()
+	if added {
+		allocator.applyUpstreams(registered)
+	}
+}
+
+// SetUpstreams replaces the list of upstreams. Upstreams of services that no
+// configuration has defined are not used: their entries may come from another writer,
+// and their addresses prove nothing.
+func (allocator *Allocator) SetUpstreams(registered []broker.Upstream) {
+	allocator.updateMutex.Lock()
+	defer allocator.updateMutex.Unlock()
+	allocator.applyUpstreams(registered)
 }
 
-// SetUpstreams replaces the list of upstreams.
-func (allocator *Allocator) SetUpstreams(upstreams []broker.Upstream) {
+// applyUpstreams passes the upstreams of known services on to all services. The
+// updateMutex must be held.
+func (allocator *Allocator) applyUpstreams(registered []broker.Upstream) {
 	allocator.mutex.Lock()
+	upstreams := allocator.ofKnownServices(registered)
 	allocator.updateDraining(upstreams)
-	allocator.upstreams = upstreams
+	allocator.registered, allocator.upstreams = registered, upstreams
 	services := slices.Collect(maps.Values(allocator.services))
 	allocator.mutex.Unlock()
 	for _, service := range services {
@@ -176,6 +200,18 @@
 	}
 }
 
+// ofKnownServices returns the upstreams whose service a configuration has defined. The
+// mutex must be held.
+func (allocator *Allocator) ofKnownServices(registered []broker.Upstream) []broker.Upstream {
+	upstreams := make([]broker.Upstream, 0, len(registered))
+	for _, upstream := range registered {
+		if allocator.services[upstream.Service] != nil {
+			upstreams = append(upstreams, upstream)
+		}
+	}
+	return upstreams
+}
+
 // updateDraining records since when upstreams may have been draining or removed. The
 // mutex must be held.
 func (allocator *Allocator) updateDraining(upstreams []broker.Upstream) {
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cuminstream/cuminstream/pkg/broker"
+	"github.com/cuminstream/cuminstream/pkg/matcher"
 )
 
 // All VMs acquire slots from the same broker, so that no upstream with one slot gets two
@@ -257,3 +258,40 @@
 		}
 	})
 }
+
+// An entry whose service no configuration has defined must not count as proof that the
+// upstream at its address has ended (review/2: keys with two holders). Once a
+// configuration defines the service, the address proves it.
+func TestAddressOfUnknownServiceProvesNothing(t *testing.T) {
+	runSystem(t, 2, func(t *testing.T, system *system, vms []*vm) {
+		registered := []broker.Upstream{{ID: "other", StartedAt: 2, Service: "added", Address: "keyed0:80", Zone: "a", Slots: 1}}
+		for i := 1; i < 4; i++ {
+			registered = append(registered, broker.Upstream{ID: fmt.Sprint("keyed", i), StartedAt: 1, Service: "keyed", Address: fmt.Sprint("keyed", i, ":80"), Zone: "a", Slots: 1})
+		}
+		grantsOfFirst := func() (count int) {
+			system.mutex.Lock()
+			defer system.mutex.Unlock()
+			for _, owner := range system.granted {
+				if owner == "keyed0" {
+					count++
+				}
+			}
+			return count
+		}
+		system.mutex.Lock()
+		system.unreachable = "keyed0"
+		system.mutex.Unlock()
+		before := grantsOfFirst()
+		assert.Assert(t, before > 0)
+		for _, vm := range vms {
+			vm.SetUpstreams(registered)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, grantsOfFirst(), before, "its last grants may still be in force")
+		for _, vm := range vms {
+			vm.AddServices(&matcher.Config{Services: map[string]matcher.Service{"added": {Name: "added"}}})
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, grantsOfFirst(), 0)
+	})
+}
--- a/internal/allocator/system_test.go
+++ b/internal/allocator/system_test.go
@@ -36,6 +36,9 @@
 	writes    int                // of objects by VMs
 	cpuShares map[string]float64 // in cores, by VM
 
+	granted     [broker.KeyCount]string // the upstream that got the last grant, by key
+	unreachable string                  // the upstream that answers no release
+
 	maxStaleness time.Duration // of VMs that are started
 }
 
@@ -231,12 +234,24 @@
 	return object, nil
 }
 
-// granter accepts every grant and release.
-type granter struct{}
+// granter accepts every grant, and every release except those by unreachable upstreams.
+type granter struct{ system *system }
 
-func (granter) Grant(context.Context, keeper.Owner, keeper.Grant) error { return nil }
+func (granter granter) Grant(_ context.Context, owner keeper.Owner, grant keeper.Grant) error {
+	granter.system.mutex.Lock()
+	defer granter.system.mutex.Unlock()
+	for key := grant.Keys.From; key <= grant.Keys.To; key++ {
+		granter.system.granted[key] = owner.ID
+	}
+	return nil
+}
 
-func (granter) Release(context.Context, keeper.Owner, keeper.Range, uint64) (string, error) {
+func (granter granter) Release(_ context.Context, owner keeper.Owner, _ keeper.Range, _ uint64) (string, error) {
+	granter.system.mutex.Lock()
+	defer granter.system.mutex.Unlock()
+	if granter.system.unreachable == owner.ID {
+		return "", errUnreachable
+	}
 	return "token", nil
 }
 
@@ -245,7 +260,7 @@
 	started := &vm{system: system, name: name, handlers: map[string]linker.CallHandler{}, links: map[string]chan struct{}{}, done: make(chan struct{})}
 	started.Allocator = &allocator.Allocator{
 		VM: name, Zone: "a", BootID: fmt.Sprint(name, "-", time.Now().UnixNano()), Clock: clocker.System{}, Log: slog.New(slog.DiscardHandler),
-		Store: store{vm: started}, Peers: started, Members: started, Granter: granter{}, StopTimeout: 4 * time.Second,
+		Store: store{vm: started}, Peers: started, Members: started, Granter: granter{system}, StopTimeout: 4 * time.Second,
 		MaxStaleness: system.maxStaleness,
 	}
 	started.Followers = []*storer.Follower{{
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -168,7 +168,7 @@
 	return time.Duration(float64(ttl)*clockDriftAllowance) + maxDeliveryDelay
 }
 
-// SetUpstreams sets the registered upstreams of all services.
+// SetUpstreams sets the registered upstreams of all configured services.
 func (keeper *Keeper) SetUpstreams(list []broker.Upstream) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
@@ -351,10 +351,11 @@
 
 // addressReused reports whether another upstream has started at the owner's address.
 // This proves that the owner has ended: the platform reassigns an address only after
-// its upstream has ended.
+// its upstream has ended. An entry of another writer can name the address of a running
+// upstream, so it proves nothing while the owner itself is registered.
 func (keeper *Keeper) addressReused(owner Owner) bool {
 	other, ok := keeper.addresses[owner.Address]
-	return ok && other.ID != owner.ID && other.StartedAt > owner.StartedAt
+	return ok && other.ID != owner.ID && other.StartedAt > owner.StartedAt && !keeper.isRegistered(owner)
 }
 
 // previousGrantsEnded reports whether all grants of the keys to the previous owner
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -306,6 +306,26 @@
 	})
 }
 
+// An entry of another writer at the address of a draining owner must not count as proof
+// that the owner has ended: it answers calls, so it must release its keys first
+// (review/2: they had two holders for up to 4 s).
+func TestEntryAtAddressOfDrainingOwnerProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 1)
+		first := startWithUpstreams(cluster, 5)
+		defer first.stop()
+		leaving := cluster.upstreams["u2:80"]
+		foreign := leaving.info
+		foreign.ID, foreign.Service, foreign.StartedAt = "foreign", "bookings", leaving.info.StartedAt+1
+		cluster.mutex.Lock()
+		leaving.info.Draining = true
+		cluster.mutex.Unlock()
+		first.setUpstreams(append(cluster.registered(), foreign))
+		time.Sleep(600 * time.Millisecond)
+		assert.Equal(t, first.heldFraction(), 1.0, "the keys are released at once")
+	})
+}
+
 // A broker that learns that the previous one has ended must wait for the grants that
 // the previous one may have sent until then to expire, but not for further renewals.
 func TestPreviousBrokerEndedShortensWaitForExpiry(t *testing.T) {
