Close pipelined connections after their pending requests at a planned stop

Cause: during a stop, Connection: close was sent only with a response behind which no request was pending, and the connection went on reading.

Ruled out: the upstreams (they answered later), and the time limits (2.5 s and 1.2 s, both after the cut).

Change: from the first response of a stop on, and after the notice period in any case, a connection reads no further request; the last pending response closes it. Input that follows is discarded, and a close by the caller still cancels its requests. The reader no longer clears the deadline of a connection that is closing after an upload.

Tests: TestStopEndsPipelinedConnections failed before ("unexpected EOF" 2.2 s after the start); TestCallerThatLeavesDuringTheStopIsNoticed guards the new path and passed before as well.

Why it works: the set of pending requests can only shrink once a response has been written.

--- a/internal/fronter/connection.go
+++ b/internal/fronter/connection.go
@@ -44,6 +44,7 @@
 	reading       bool        // a request's header has begun to arrive
 	writing       bool        // a goroutine is writing responses
 	closing       bool        // no further request is read
+	stopping      bool        // closing because the server stops
 	broken        bool        // the caller disconnected, or a write failed
 	pendingShrunk *sync.Cond  // signals that pending became shorter or broken was set
 }
@@ -70,12 +71,15 @@
 	_ = conn.netConn.Close()
 }
 
-// closeWhenIdle closes the connection if it has no pending request and none has begun to
-// arrive.
-func (conn *connection) closeWhenIdle() {
+// closeAfterPending closes the connection if it has no pending request and none has
+// begun to arrive. If requests are pending, no further one is read.
+func (conn *connection) closeAfterPending() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if len(conn.pending) == 0 && !conn.closing && !conn.reading && peeker.Peek(conn.netConn) != peeker.Readable {
+	switch {
+	case len(conn.pending) > 0:
+		conn.closing, conn.stopping = true, true
+	case !conn.closing && !conn.reading && peeker.Peek(conn.netConn) != peeker.Readable:
 		conn.closing = true
 		_ = conn.netConn.SetReadDeadline(time.Unix(1, 0)) // unblocks the reader
 	}
@@ -86,6 +90,7 @@
 	defer conn.abort()
 	for conn.readRequest() {
 	}
+	conn.discardUntilAnswered()
 	conn.mutex.Lock()
 	conn.closing = true
 	for len(conn.pending) > 0 && !conn.broken {
@@ -98,6 +103,27 @@
 	}
 }
 
+// discardUntilAnswered discards requests that arrive while the pending ones are answered
+// during a stop. They follow the response that closes the connection, so the caller
+// knows that they have not run. It returns once the last response has been written, and
+// still detects that the caller disconnects.
+func (conn *connection) discardUntilAnswered() {
+	conn.mutex.Lock()
+	discard := conn.stopping && len(conn.pending) > 0 && !conn.broken
+	if discard {
+		_ = conn.netConn.SetReadDeadline(time.Time{}) // complete sets one after the last response
+	}
+	conn.mutex.Unlock()
+	if !discard {
+		return
+	}
+	_, err := io.Copy(io.Discard, conn.netConn)
+	if err == nil {
+		err = io.EOF
+	}
+	conn.handleReadError(err)
+}
+
 // linger performs a lingering close: it closes the write side and discards input,
 // so that the caller can read its last response before the connection is closed.
 func (conn *connection) linger() {
@@ -260,8 +286,11 @@
 	}
 	if body != nil {
 		conn.mutex.Lock()
+		defer conn.mutex.Unlock()
+		if conn.closing {
+			return false // complete may have set the deadline that unblocks the reader
+		}
 		_ = conn.netConn.SetReadDeadline(time.Time{})
-		conn.mutex.Unlock()
 	}
 	return !exchange.closeAfter
 }
@@ -280,8 +309,11 @@
 	for len(conn.pending) > 0 && conn.pending[0].response != nil {
 		exchange := conn.pending[0]
 		last := exchange.closeAfter || exchange.response.Close
-		if conn.server.stopping.Load() && len(conn.pending) == 1 {
-			last = true
+		if conn.server.stopping.Load() {
+			// A caller that always has several requests in progress would never get
+			// Connection: close if further ones were served.
+			conn.closing, conn.stopping = true, true
+			last = last || len(conn.pending) == 1
 		}
 		conn.closing = conn.closing || (last && len(conn.pending) == 1)
 		conn.mutex.Unlock()
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -123,7 +123,7 @@
 	_ = clocker.Sleep(background, server.Clock, server.StopNotice)
 	_ = server.Listener.Close()
 	for server.Clock.Now().Sub(began) < server.StopTimeout {
-		if server.closeIdle() == 0 {
+		if server.closeConnections() == 0 {
 			break
 		}
 		_ = clocker.Sleep(background, server.Clock, stopPollInterval)
@@ -139,13 +139,14 @@
 // stopPollInterval is how often the open connections are checked during shutdown.
 const stopPollInterval = 20 * time.Millisecond
 
-// closeIdle begins to close the connections that have no pending request. It
-// returns the number of connections that are still open.
-func (server *Server) closeIdle() int {
+// closeConnections begins to close the connections: those without a pending request
+// at once, the others after the last response. It returns the number of connections
+// that are still open.
+func (server *Server) closeConnections() int {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	for conn := range server.connections {
-		conn.closeWhenIdle()
+		conn.closeAfterPending()
 	}
 	return len(server.connections)
 }
