Ignore a check-in that is older than the last one of its upstream

Cause: the store carried out an unanswered check-in after a later one, and the registrar took every entry as newer than the one before. The sequence was not decoded.

Ruled out: a stale list or relay (their revisions are checked; the entry's revision was the newest).

Change: entries are ordered by start time and sequence. Older ones are logged and ignored, also for a minute after the entry's removal, so that a late check-in does not bring back an upstream that has left. A process with an earlier start time that goes on checking in is accepted.

Why it works: an entry's order is that of its sender, not that of the store's writes.

--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -24,7 +24,6 @@
 	"github.com/cuminstream/cuminstream/internal/registrar"
 	"github.com/cuminstream/cuminstream/internal/sender"
 	"github.com/cuminstream/cuminstream/internal/storer"
-	"github.com/cuminstream/cuminstream/pkg/broker"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 	"github.com/cuminstream/cuminstream/pkg/matcher"
 )
@@ -93,7 +92,7 @@
 	// KindUpstreams is the object kind of the entries in which upstreams register
 	// themselves. DecodeUpstream decodes such an entry.
 	KindUpstreams  string
-	DecodeUpstream func(object storer.Object) (broker.Upstream, error)
+	DecodeUpstream func(object storer.Object) (registrar.Entry, error)
 	// KindConfig and NameConfig identify the object that holds the configuration.
 	// DecodeConfig decodes its spec.
 	KindConfig   string
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -1,6 +1,7 @@
 // Package registrar keeps the list of upstreams that have registered themselves in
-// the platform's store. An entry that cannot be decoded is ignored. An upstream whose
-// entry lapsed during an outage of the store has some time to renew it.
+// the platform's store. An entry that cannot be decoded is ignored, and so is one that is
+// older than the last entry of its upstream. An upstream whose entry lapsed during an
+// outage of the store has some time to renew it.
 package registrar
 
 import (
@@ -23,13 +24,14 @@
 	Clock clocker.Clock
 	Log   *slog.Logger
 	// Decode decodes an entry.
-	Decode func(object storer.Object) (broker.Upstream, error)
+	Decode func(object storer.Object) (Entry, error)
 	// OnChange receives all upstreams, sorted by ID, after the first list and after
 	// each change.
 	OnChange func(upstreams []broker.Upstream)
 
 	mutex       sync.Mutex
 	upstreams   map[string]broker.Upstream
+	checkIns    map[string]*checkIns
 	lapsed      map[string]time.Time // when to remove upstreams whose entry lapsed, by ID
 	recoveredAt time.Time            // end of the last outage of the store
 	listed      bool
@@ -96,18 +98,30 @@
 func (registrar *Registrar) initMaps() {
 	if registrar.upstreams == nil {
 		registrar.upstreams = map[string]broker.Upstream{}
+		registrar.checkIns = map[string]*checkIns{}
 		registrar.lapsed = map[string]time.Time{}
 	}
 }
 
 // update applies an entry and reports whether the list has changed.
 func (registrar *Registrar) update(object storer.Object) bool {
-	upstream, err := registrar.Decode(object)
+	entry, err := registrar.Decode(object)
 	if err != nil {
 		// The last valid entry is used until it is removed.
 		registrar.Log.Warn("entry of an upstream is not usable", "upstream", object.Name, "revision", object.Revision, "error", err.Error())
 		return false
 	}
+	upstream := entry.Upstream
+	known := registrar.checkIns[upstream.ID]
+	if known == nil {
+		known = &checkIns{}
+		registrar.checkIns[upstream.ID] = known
+	}
+	if !known.accept(checkIn{upstream.StartedAt, entry.Sequence}) {
+		registrar.Log.Info("ignored an entry that is older than the last one of its upstream", "upstream", upstream.ID, "born", upstream.StartedAt,
+			"sequence", entry.Sequence, "lastBorn", known.newest.startedAt, "lastSequence", known.newest.sequence, "draining", upstream.Draining, "revision", object.Revision)
+		return false
+	}
 	old, ok := registrar.upstreams[upstream.ID]
 	delete(registrar.lapsed, upstream.ID)
 	if ok && old == upstream {
@@ -135,9 +149,15 @@
 		return false
 	}
 	registrar.Log.Info("upstream is gone", "upstream", id, "service", registrar.upstreams[id].Service)
+	registrar.drop(id)
+	return true
+}
+
+// drop removes an upstream from the list.
+func (registrar *Registrar) drop(id string) {
 	delete(registrar.upstreams, id)
 	delete(registrar.lapsed, id)
-	return true
+	registrar.checkIns[id].removedAt = registrar.Clock.Now()
 }
 
 // notify reports the list to OnChange. The caller holds the mutex, which keeps the
@@ -180,10 +200,14 @@
 			continue
 		}
 		registrar.Log.Info("removed an upstream: its entry did not return after an outage of the store", "upstream", id)
-		delete(registrar.lapsed, id)
-		delete(registrar.upstreams, id)
+		registrar.drop(id)
 		removed = true
 	}
+	for id, known := range registrar.checkIns {
+		if known.expired(now) {
+			delete(registrar.checkIns, id)
+		}
+	}
 	if removed {
 		registrar.notify()
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -19,12 +19,12 @@
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
-func decode(object storer.Object) (broker.Upstream, error) {
-	upstream := broker.Upstream{ID: object.Name}
+func decode(object storer.Object) (registrar.Entry, error) {
+	entry := registrar.Entry{Upstream: broker.Upstream{ID: object.Name}}
 	if string(object.Spec) == "rubbish" {
-		return upstream, errors.New("rubbish")
+		return entry, errors.New("rubbish")
 	}
-	return upstream, json.Unmarshal(object.Spec, &upstream)
+	return entry, json.Unmarshal(object.Spec, &entry)
 }
 
 func object(name, spec string) storer.Object {
@@ -116,3 +116,71 @@
 	created.HandleChanges([]storer.Change{{Object: object("a", ""), Deleted: true}})
 	assert.DeepEqual(t, last(), []string{"b"})
 }
+
+// A check-in that the store carries out late must not undo a later one: a draining
+// upstream got new requests until its next check-in (review/5), and an upstream that had
+// left would come back.
+func TestLateCheckIn(t *testing.T) {
+	ready := func(startedAt, sequence int) storer.Change {
+		return storer.Change{Object: object("a", fmt.Sprintf(`{"StartedAt":%d,"Sequence":%d}`, startedAt, sequence))}
+	}
+	draining := func(startedAt, sequence int) storer.Change {
+		return storer.Change{Object: object("a", fmt.Sprintf(`{"StartedAt":%d,"Sequence":%d,"Draining":true}`, startedAt, sequence))}
+	}
+	gone := storer.Change{Object: object("a", ""), Deleted: true}
+	for name, test := range map[string]struct {
+		changes []storer.Change
+		want    string
+	}{
+		"draining after ready":                 {[]storer.Change{ready(100, 4), draining(100, 7)}, "a 100 draining"},
+		"earlier sequence":                     {[]storer.Change{ready(100, 4), draining(100, 7), ready(100, 6)}, "a 100 draining"},
+		"same sequence":                        {[]storer.Change{ready(100, 4), draining(100, 4)}, "a 100 draining"},
+		"restart counts anew":                  {[]storer.Change{draining(100, 7), ready(200, 1)}, "a 200"},
+		"former process":                       {[]storer.Change{ready(200, 1), ready(100, 9)}, "a 200"},
+		"former process, listed twice":         {[]storer.Change{ready(200, 1), ready(100, 9), ready(100, 9)}, "a 200"},
+		"clock set back before a restart":      {[]storer.Change{draining(200, 9), ready(100, 1), ready(100, 2)}, "a 100"},
+		"late check-in after the removal":      {[]storer.Change{ready(100, 4), draining(100, 7), gone, ready(100, 6)}, ""},
+		"next check-in after the removal":      {[]storer.Change{ready(100, 4), gone, ready(100, 5)}, "a 100"},
+		"next check-in after a late one":       {[]storer.Change{draining(100, 7), ready(100, 6), draining(100, 8)}, "a 100 draining"},
+		"late check-in after a later removal":  {[]storer.Change{draining(100, 7), gone, ready(100, 6), gone, ready(100, 5)}, ""},
+		"restart after the removal":            {[]storer.Change{draining(100, 7), gone, ready(200, 1)}, "a 200"},
+		"late check-in of a removed successor": {[]storer.Change{ready(100, 7), ready(200, 3), gone, ready(200, 2)}, ""},
+	} {
+		created, _ := newRegistrar()
+		created.HandleList(nil)
+		last := ""
+		created.OnChange = func(list []broker.Upstream) {
+			last = ""
+			for _, upstream := range list {
+				last = fmt.Sprint(upstream.ID, " ", upstream.StartedAt)
+				if upstream.Draining {
+					last += " draining"
+				}
+			}
+		}
+		for _, change := range test.changes {
+			created.HandleChanges([]storer.Change{change})
+		}
+		assert.Check(t, last == test.want, "%s: %q", name, last)
+	}
+}
+
+// An upstream whose entry was removed long ago must not be remembered for ever.
+func TestRemovedUpstreamsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		created, last := newRegistrar()
+		created.HandleList([]storer.Object{object("a", `{"StartedAt":100,"Sequence":7}`)})
+		created.HandleChanges([]storer.Change{{Object: object("a", ""), Deleted: true}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			assert.Check(t, created.Run(ctx))
+		}()
+		time.Sleep(61 * time.Second)
+		cancel()
+		<-done
+		created.HandleChanges([]storer.Change{{Object: object("a", `{"StartedAt":100,"Sequence":6}`)}})
+		assert.DeepEqual(t, last(), []string{"a"})
+	})
+}
