--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -71,7 +71,7 @@
 	storeKnownAt  time.Time                 // when a broker that reaches the store last answered a report
 	services      map[string]*service
 	claims        map[string]storedClaim
-	claimsSince   time.Time // when this VM learned of the first claim; zero before
+	claimsSince   time.Time         // when this VM learned of the first claim; zero before
 	registered    []broker.Upstream // as listed in the store
 	upstreams     []broker.Upstream // those of registered whose service a configuration has defined
 	polling       bool              // what ShouldPoll reported last
