Test responses that end at any byte

Other operators saw a 200 with an empty or short body after an upstream had closed in the middle of its response's head. Here it was not found: responses with a length, chunked, after an interim response, with bare LF and without a length all count as broken when cut at any byte of what frames them (TestResponseCutAtAnyByte). No change of behaviour.

--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -167,6 +167,32 @@
 	}
 }
 
+// A response that ends at any byte before its last one must not count as complete, the head
+// included: other operators' callers got a 200 with an empty or short body whose upstream
+// had closed the connection in the middle of the head.
+func TestResponseCutAtAnyByte(t *testing.T) {
+	for name, whole := range map[string]string{
+		"length":         "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 12\r\n\r\nhello, world",
+		"length, LF":     "HTTP/1.1 200 OK\nId: 1\nContent-Length: 2\n\nok",
+		"chunked":        "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX: y\r\n\r\n",
+		"interim":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok",
+		"length at last": "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+		"no length":      "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n",
+	} {
+		scripts := make([]func(net.Conn, *bufio.Reader), len(whole)+1)
+		for end := range scripts {
+			scripts[end] = func(conn net.Conn, requests *bufio.Reader) { respond(conn, requests, whole[:end]) }
+		}
+		target := startUpstream(t, scripts...)
+		for end := range len(whole) {
+			response, err := newSender().Send(t.Context(), target, request("1"))
+			assert.Check(t, err != nil, "%s, %q: %+v", name, whole[:end], response)
+		}
+		_, err := newSender().Send(t.Context(), target, request("1"))
+		assert.Check(t, err, name)
+	}
+}
+
 // A response without a length that ends with a reset must not look complete.
 func TestResetResponseWithoutLength(t *testing.T) {
 	target := startUpstream(t, func(conn net.Conn, requests *bufio.Reader) {
