Stream large answers to their end

Cause: exchange.serve cancels the request's context when it returns, and the sender had hung the upstream's connection on it, before the rest of the body was streamed.

Ruled out: buffering larger bodies (memory), and keeping the request's time limit for the stream (an answer that is ready is delivered, also late; the caller ends it by leaving).

Change: sender.Request.StreamContext replaces the request's context once the head of a streamed response has been read. A stream without a byte for 10 s ends. The head of a streamed answer no longer reserves space for its body. The soak's proxies pass on the end of a connection in place of a reset, which would break answers that end with their connection.

Tests: TestStreamEndsWithTheCaller fails before (no such context); TestLargeResponseOutlivesTheRequest; the soak compares large bodies byte for byte.

--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -92,7 +92,7 @@
 	exchange.Protocol.SetUpstreamHeaders(header, upstream.ID, exchange.deadline.Sub(exchange.Clock.Now()))
 	request := &sender.Request{
 		ID: exchange.id, Method: exchange.request.Method, Target: exchange.request.Target, Host: exchange.request.Host,
-		Header: header, Body: exchange.bufferedBody, History: &exchange.history, CallerLeft: exchange.request.CallerLeft,
+		Header: header, Body: exchange.bufferedBody, StreamContext: exchange.callerCtx, History: &exchange.history, CallerLeft: exchange.request.CallerLeft,
 	}
 	if exchange.bodyRest != nil {
 		request.Stream, request.ContentLength = io.MultiReader(bytes.NewReader(exchange.bufferedBody), exchange.bodyRest), exchange.request.ContentLength
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -184,7 +184,7 @@
 
 // Serve implements fronter.Handler.
 func (forwarder *Forwarder) Serve(ctx context.Context, request *fronter.Request) *fronter.Response {
-	exchange := &exchange{Forwarder: forwarder, request: request, id: forwarder.Protocol.RequestID(request.Header)}
+	exchange := &exchange{Forwarder: forwarder, request: request, callerCtx: ctx, id: forwarder.Protocol.RequestID(request.Header)}
 	answer := exchange.serve(ctx)
 	exchange.logAnswer(ctx, answer)
 	return answer
@@ -194,6 +194,7 @@
 type exchange struct {
 	*Forwarder
 	request      *fronter.Request
+	callerCtx    context.Context // cancelled when the caller disconnects
 	id           string
 	table        *matcher.Table
 	route        *matcher.Route
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -248,6 +248,20 @@
 	})
 }
 
+// A response that is still being streamed when Serve returns must not be cut off: it ends
+// with the caller's connection, and not with the request's time limit.
+func TestStreamEndsWithTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &fakeBackend{responses: []sendFunc{served}}
+		ctx, leave := context.WithCancel(t.Context())
+		newForwarder(backend).Serve(ctx, request("/read/1"))
+		time.Sleep(10 * time.Second)
+		assert.NilError(t, backend.requests[0].StreamContext.Err())
+		leave()
+		assert.Assert(t, backend.requests[0].StreamContext.Err() != nil)
+	})
+}
+
 func TestNoConfiguration(t *testing.T) {
 	empty := &courier.Forwarder{Clock: clocker.System{}, Protocol: protocol{}, Log: slog.New(slog.DiscardHandler)}
 	assert.Equal(t, empty.Serve(t.Context(), request("/book/1")).Status, 503)
--- a/internal/fronter/write.go
+++ b/internal/fronter/write.go
@@ -7,6 +7,9 @@
 	"strconv"
 )
 
+// headerCapacity fits the header of most responses.
+const headerCapacity = 512
+
 // copyBufferSize is the buffer size for streaming a large body.
 const copyBufferSize = 32 << 10
 
@@ -23,7 +26,11 @@
 		length = response.ContentLength
 	}
 	chunked := length < 0 && !exchange.http10
-	buffer := bytes.NewBuffer(make([]byte, 0, 512+len(response.Body)))
+	size := headerCapacity
+	if response.Rest == nil {
+		size += len(response.Body)
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, size))
 	buffer.WriteString("HTTP/1.1 ")
 	buffer.WriteString(strconv.Itoa(response.Status))
 	buffer.WriteByte(' ')
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -63,6 +63,9 @@
 	Stream io.Reader
 	// ContentLength is the length of Stream, or -1 if it is not known.
 	ContentLength int64
+	// StreamContext, if set, takes the place of Send's context once the header of a response
+	// with Rest has been read.
+	StreamContext context.Context
 	// History, if set, makes an attempt to send the request again use another connection.
 	History *History
 	// CallerLeft, if set, is asked right before the request is written. If it reports
@@ -121,6 +124,8 @@
 	// maxBufferedBody is the largest response body that is read completely before it
 	// is forwarded, so that a truncated one does not reach the caller.
 	maxBufferedBody = 256 << 10
+	// streamTimeout bounds the wait for the next bytes of a response that is streamed.
+	streamTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the header of a response, together with the interim responses
 	// before it.
 	maxHeaderBytes = 64 << 10
@@ -192,7 +197,10 @@
 		return nil, &IncompleteResponseError{Cause: err}
 	}
 	if response.Rest != nil {
-		response.Rest = &streamedBody{ReadCloser: response.Rest, conn: conn, stop: stop}
+		if request.StreamContext != nil && stop() {
+			stop = context.AfterFunc(request.StreamContext, func() { _ = conn.Close() })
+		}
+		response.Rest = &streamedBody{ReadCloser: response.Rest, conn: conn, clock: sender.Clock, stop: stop}
 		return response, nil
 	}
 	if !stop() {
@@ -205,8 +213,17 @@
 // connection.
 type streamedBody struct {
 	io.ReadCloser
-	conn *connection
-	stop func() bool
+	conn  *connection
+	clock clocker.Clock
+	stop  func() bool
+}
+
+// Read fails if no byte arrives for streamTimeout.
+func (body *streamedBody) Read(data []byte) (int, error) {
+	if err := body.conn.SetReadDeadline(body.clock.Now().Add(streamTimeout)); err != nil {
+		return 0, err
+	}
+	return body.ReadCloser.Read(data)
 }
 
 func (body *streamedBody) Close() error {
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -205,6 +206,45 @@
 	assert.Assert(t, errors.As(err, &broken), "%v", err)
 }
 
+// A response that is too large to buffer must be streamed to its end after the context of
+// its request is done, as long as the caller stays: answers of over 256 KiB never arrived
+// complete. When the caller leaves, the connection is closed.
+func TestLargeResponseOutlivesTheRequest(t *testing.T) {
+	const size = 3 << 20
+	text := strings.Repeat("0123456789abcdef", size/16)
+	for name, head := range map[string]string{
+		"length":      fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n", size),
+		"chunked":     fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", size),
+		"until close": "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+	} {
+		script := func(conn net.Conn, requests *bufio.Reader) {
+			respond(conn, requests, head+text)
+			if name == "chunked" {
+				_, _ = io.WriteString(conn, "\r\n0\r\n\r\n")
+			}
+		}
+		target := startUpstream(t, script, script)
+		for _, leaves := range []bool{false, true} {
+			caller, leave := context.WithCancel(t.Context())
+			ctx, cancel := context.WithCancel(caller)
+			large := request("1")
+			large.StreamContext = caller
+			response, err := newSender().Send(ctx, target, large)
+			assert.NilError(t, err, name)
+			cancel()
+			if leaves {
+				leave()
+				time.Sleep(20 * time.Millisecond)
+			}
+			rest, err := io.ReadAll(response.Rest)
+			assert.Equal(t, err != nil, leaves, "%s: %v", name, err)
+			assert.Assert(t, leaves || string(response.Body)+string(rest) == text, name)
+			_ = response.Rest.Close() // the connection is closed if the caller has left
+			leave()
+		}
+	}
+}
+
 // A refused connection gives a NotSentError.
 func TestRefusedConnection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/standin/soaker/judge.go
+++ b/internal/standin/soaker/judge.go
@@ -59,15 +59,15 @@
 	}
 }
 
-// answered records the answer to a request.
-func (judge *Judge) answered(id string, status int, body string) {
+// answered records the answer to a request that has asked for a response of the given size.
+func (judge *Judge) answered(id string, status int, body string, size int) {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
 	judge.Answers[status]++
 	switch status {
 	case 200:
-		if body != id {
-			judge.fail("request %q got the body %q", id, body)
+		if body != responseBody(id, size) {
+			judge.fail("request %q for %d bytes got a body of %d bytes that begins with %.20q", id, size, len(body), body)
 		}
 		if judge.runs[id] == 0 {
 			judge.fail("request %q succeeded and has not run", id)
--- a/internal/standin/soaker/pipeline.go
+++ b/internal/standin/soaker/pipeline.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	pipeline.soak.judge.answered(request.id, response.StatusCode, string(body))
+	pipeline.soak.judge.answered(request.id, response.StatusCode, string(body), 0)
 	if response.StatusCode == http.StatusOK {
 		pipeline.soak.served.Add(1)
 	}
--- a/internal/standin/soaker/proxy.go
+++ b/internal/standin/soaker/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -111,16 +112,24 @@
 	both.Go(func() { proxy.pass(caller, target, false) })
 	both.Go(func() { proxy.pass(target, caller, true) })
 	both.Wait()
+	end(caller)
+	end(target)
 	proxy.mutex.Lock()
 	delete(proxy.open, caller)
 	delete(proxy.open, target)
 	proxy.mutex.Unlock()
 }
 
-// pass copies one direction.
+// pass copies one direction until its end, which it passes on. If the connection breaks, or
+// its bytes are lost, both ends are reset.
 func (proxy *Proxy) pass(from, to net.Conn, back bool) {
-	defer end(from)
-	defer end(to)
+	complete := false
+	defer func() {
+		if !complete {
+			end(from)
+			end(to)
+		}
+	}()
 	piece := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(piece)
@@ -133,6 +142,8 @@
 			}
 		}
 		if err != nil {
+			closer, ok := to.(interface{ CloseWrite() error })
+			complete = err == io.EOF && ok && closer.CloseWrite() == nil
 			return
 		}
 	}
--- a/internal/standin/soaker/upstream.go
+++ b/internal/standin/soaker/upstream.go
@@ -175,8 +175,7 @@
 	upstream.judge.ran(id, upstream.ID)
 	time.Sleep(workOf(request))
 	writer.Header().Set("Cuminstream-Response-Seal", "seal")
-	writer.WriteHeader(http.StatusOK)
-	_, _ = writer.Write([]byte(id)) // the caller may have left
+	writeBody(writer, request, responseBody(id, sizeOf(request)))
 }
 
 // workOf returns the time that a request asks for in its query, in milliseconds, or work.
