Heed upstreams that say they are leaving or busy

Change: pkg/avoider decides by process of an upstream. An upstream that says it is leaving counts as draining on the VM at once; the VM tells the broker with the release of the slot, which moves keys and slots. A busy upstream gets nothing from that VM: the broker assigns no slot, and the VM uses none that was assigned before. Requests without a key go elsewhere; those that cannot be served in time are refused at once, with the time at which an upstream takes them; the others wait. Both are believed only from an answer that names the request and is no 421.

Ruled out: a pause for all VMs (the upstream speaks to one), and heeding Retry-After for orders to upstreams (docs/decisions.md).

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -16,6 +16,7 @@
 	"github.com/cuminstream/cuminstream/internal/linker"
 	"github.com/cuminstream/cuminstream/internal/sender"
 	"github.com/cuminstream/cuminstream/internal/storer"
+	"github.com/cuminstream/cuminstream/pkg/avoider"
 	"github.com/cuminstream/cuminstream/pkg/broker"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 	"github.com/cuminstream/cuminstream/pkg/matcher"
@@ -61,6 +62,9 @@
 	// revisions of other VMs when they are behind. Their order is the same on all VMs.
 	Followers []*storer.Follower
 
+	// notices are what upstreams have said of themselves in responses to this VM, or, if they
+	// are leaving, to VMs that have told this one.
+	notices avoider.Avoider
 	// updateMutex keeps updates of the list of upstreams in order. It is locked before
 	// mutex.
 	updateMutex sync.Mutex
@@ -147,6 +151,7 @@
 // Init registers the handlers of calls from other VMs. It must be called before the
 // first link is opened.
 func (allocator *Allocator) Init(server linker.Registrar) {
+	allocator.notices.Clock = allocator.Clock
 	allocator.services = map[string]*service{}
 	allocator.claims = map[string]storedClaim{}
 	allocator.peers = map[string]*peer{}
@@ -189,6 +194,7 @@
 // applyUpstreams passes the upstreams of known services on to all services. The
 // updateMutex must be held.
 func (allocator *Allocator) applyUpstreams(registered []broker.Upstream) {
+	allocator.notices.SetRegistered(registered)
 	allocator.mutex.Lock()
 	upstreams := allocator.ofKnownServices(registered)
 	allocator.updateDraining(upstreams)
@@ -200,12 +206,15 @@
 	}
 }
 
-// ofKnownServices returns the upstreams whose service a configuration has defined. The
-// mutex must be held.
+// ofKnownServices returns the upstreams whose service a configuration has defined. Those
+// that have said that they are leaving count as draining. The mutex must be held.
 func (allocator *Allocator) ofKnownServices(registered []broker.Upstream) []broker.Upstream {
 	upstreams := make([]broker.Upstream, 0, len(registered))
 	for _, upstream := range registered {
 		if allocator.services[upstream.Service] != nil {
+			if _, leaving := allocator.notices.LeavingSince(upstream); leaving {
+				upstream.Draining = true
+			}
 			upstreams = append(upstreams, upstream)
 		}
 	}
@@ -281,13 +290,61 @@
 	if service == nil {
 		return courier.Slot{Decision: broker.Decision{Refusal: broker.Unavailable, RetryAfter: time.Second}}
 	}
-	slot := allocator.acquire(ctx, service, request)
-	if slot.Ticket != 0 && allocator.drainElapsed(slot.Upstream) {
-		allocator.Log.Warn("slot released unused: upstream has drained", "id", request.ID, "service", name, "upstream", slot.Upstream.ID, "broker", slot.Broker)
-		allocator.Release(name, slot, broker.Result{Ticket: slot.Ticket, Outcome: broker.Unreachable})
-		return courier.Slot{Broker: slot.Broker, Term: slot.Term, Decision: broker.Decision{Refusal: broker.Unavailable, RetryAfter: drainedRetryAfter}}
+	for began := allocator.Clock.Now(); ; {
+		slot := allocator.acquire(ctx, service, request)
+		if slot.Ticket == 0 {
+			return slot
+		}
+		result, retryAfter := allocator.checkSlot(slot)
+		if retryAfter == 0 {
+			return slot
+		}
+		allocator.Log.Info("slot released unused", "id", request.ID, "service", name, "upstream", slot.Upstream.ID, "broker", slot.Broker,
+			"drained", result.BusyFor == 0, "busyForMs", result.BusyFor.Milliseconds())
+		allocator.Release(name, slot, result)
+		now := allocator.Clock.Now()
+		request.Timeout, request.Target, began = request.Timeout-now.Sub(began), request.Target-now.Sub(began), now
+		if request.Key != broker.NoKey || request.Timeout <= 0 {
+			return courier.Slot{Broker: slot.Broker, Term: slot.Term, Decision: broker.Decision{Refusal: broker.Unavailable, RetryAfter: retryAfter}}
+		}
+		request.Exclude = append(slices.Clip(request.Exclude), slot.Upstream.ID)
 	}
-	return slot
+}
+
+// checkSlot returns a retryAfter above 0 if the slot must not be used, because its upstream
+// has drained or is busy and the broker does not know that yet. The result tells the broker.
+func (allocator *Allocator) checkSlot(slot courier.Slot) (result broker.Result, retryAfter time.Duration) {
+	if allocator.drainElapsed(slot.Upstream) {
+		_, leaving := allocator.notices.LeavingSince(slot.Upstream)
+		return broker.Result{Ticket: slot.Ticket, Outcome: broker.Unreachable, Notice: broker.Notice{Leaving: leaving}}, drainedRetryAfter
+	}
+	busyFor := allocator.notices.BusyFor(slot.Upstream)
+	return broker.Result{Ticket: slot.Ticket, Outcome: broker.Abandoned, Notice: broker.Notice{BusyFor: busyFor}}, busyFor
+}
+
+// Observe implements courier.Allocator. An upstream that says that it is leaving counts as
+// draining from then on, whatever the store says.
+func (allocator *Allocator) Observe(upstream broker.Upstream, notice broker.Notice) {
+	change := allocator.notices.Observe(upstream, notice)
+	if !change.BusyUntil.IsZero() {
+		allocator.Log.Info("upstream is busy, as its response says", "upstream", upstream.ID, "born", upstream.StartedAt, "until", change.BusyUntil)
+	}
+	if !change.Leaving {
+		return
+	}
+	allocator.Log.Info("upstream is leaving, as its response says", "upstream", upstream.ID, "born", upstream.StartedAt)
+	allocator.updateMutex.Lock()
+	defer allocator.updateMutex.Unlock()
+	allocator.mutex.Lock()
+	if _, ok := allocator.drainingSince[incarnationOf(upstream)]; !ok {
+		if allocator.drainingSince == nil {
+			allocator.drainingSince = map[incarnation]time.Time{}
+		}
+		allocator.drainingSince[incarnationOf(upstream)] = allocator.Clock.Now()
+	}
+	registered := allocator.registered
+	allocator.mutex.Unlock()
+	allocator.applyUpstreams(registered)
 }
 
 // acquire gets a slot from the broker, or assigns one locally if the broker cannot be
@@ -364,12 +421,16 @@
 		return
 	}
 	service.broker.RecordResult(slot.Upstream.ID, allocator.VM, allocator.Zone, result)
+	message := releaseMessage{
+		Service: name, Term: slot.Term, Ticket: result.Ticket, Outcome: result.Outcome, Elapsed: result.Elapsed, FreeSlot: result.FreeSlot, BusyFor: result.BusyFor,
+	}
+	if result.Leaving {
+		message.Leaving, message.Upstream, message.StartedAt = true, slot.Upstream.ID, slot.Upstream.StartedAt
+	}
 	allocator.tasks.Go(func() error {
 		ctx, cancel := clocker.WithTimeout(context.Background(), allocator.Clock, releaseTimeout)
 		defer cancel()
-		err := allocator.Peers.Call(ctx, slot.Broker, callRelease, releaseMessage{
-			Service: name, Term: slot.Term, Ticket: result.Ticket, Outcome: result.Outcome, Elapsed: result.Elapsed, FreeSlot: result.FreeSlot,
-		}, nil)
+		err := allocator.Peers.Call(ctx, slot.Broker, callRelease, message, nil)
 		if err != nil {
 			allocator.Log.Info("slot release not delivered to broker", "service", name, "broker", slot.Broker, "ticket", result.Ticket, "error", err.Error())
 		}
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cuminstream/cuminstream/internal/courier"
 	"github.com/cuminstream/cuminstream/pkg/broker"
 	"github.com/cuminstream/cuminstream/pkg/matcher"
 )
@@ -295,3 +297,70 @@
 		assert.Equal(t, grantsOfFirst(), 0)
 	})
 }
+
+// An upstream whose response says that it is leaving must get no more requests once its
+// drain period is nearly over, also if the store never says so. The broker hears of it from
+// the VM, and moves its keys.
+func TestLeavingUpstreamGetsNoSlots(t *testing.T) {
+	runSystem(t, 3, func(t *testing.T, system *system, vms []*vm) {
+		for _, service := range []string{"keyed", "plain"} {
+			former := system.claim(t, service).Broker
+			index := slices.IndexFunc(vms, func(vm *vm) bool { return vm.name != former })
+			leaving := broker.Upstream{ID: service + "0", StartedAt: 1, Service: service, Address: service + "0:80", Zone: "a", Slots: 1}
+			notice := broker.Notice{Leaving: true}
+			vms[index].Observe(leaving, notice)
+			vms[index].Release(service, courier.Slot{Broker: former, Term: system.claim(t, service).Term, Decision: broker.Decision{Upstream: leaving}}, broker.Result{Notice: notice, Outcome: broker.Served})
+			time.Sleep(700 * time.Millisecond)
+			for _, vm := range vms {
+				for key := range 16 {
+					request := broker.Request{VM: vm.name, Zone: "a", Key: key * 4096, Target: time.Second, Timeout: time.Second}
+					if service == "plain" {
+						request.Key = broker.NoKey
+					}
+					slot := vm.Acquire(t.Context(), service, request)
+					assert.Assert(t, slot.Ticket > 0 && slot.Upstream.ID != leaving.ID, "%s: %s of %s (%s)", vm.name, slot.Upstream.ID, slot.Broker, slot.Refusal)
+					vm.Release(service, slot, broker.Result{Ticket: slot.Ticket, Outcome: broker.Served, Elapsed: time.Millisecond})
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		}
+	})
+}
+
+// A VM must not use a slot at an upstream that wants nothing from it, whether the broker
+// knows that yet or not. Other VMs go on using the upstream.
+func TestBusyUpstreamGetsNothingFromItsVM(t *testing.T) {
+	runSystem(t, 3, func(t *testing.T, system *system, vms []*vm) {
+		busy := broker.Upstream{ID: "plain0", StartedAt: 1, Service: "plain", Address: "plain0:80", Zone: "a", Slots: 1}
+		former := system.claim(t, "plain").Broker
+		index := slices.IndexFunc(vms, func(vm *vm) bool { return vm.name != former })
+		vms[index].Observe(busy, broker.Notice{BusyFor: 2 * time.Second})
+		used := map[string]bool{}
+		acquire := func(vm *vm) {
+			var slots []courier.Slot
+			for range 4 {
+				slot := vm.Acquire(t.Context(), "plain", broker.Request{VM: vm.name, Zone: "a", Key: broker.NoKey, Target: time.Second, Timeout: 100 * time.Millisecond})
+				if slot.Ticket > 0 {
+					used[vm.name+" "+slot.Upstream.ID] = true
+					slots = append(slots, slot)
+				}
+			}
+			for _, slot := range slots {
+				vm.Release("plain", slot, broker.Result{Ticket: slot.Ticket, Outcome: broker.Served, Elapsed: time.Millisecond})
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range 3 {
+			for _, vm := range vms {
+				acquire(vm)
+			}
+		}
+		for i, vm := range vms {
+			assert.Equal(t, used[vm.name+" plain0"], i != index, "%s", vm.name)
+			assert.Assert(t, used[vm.name+" plain1"], "%s", vm.name)
+		}
+		time.Sleep(2 * time.Second)
+		acquire(vms[index])
+		assert.Assert(t, used[vms[index].name+" plain0"], "its time is over")
+	})
+}
--- a/internal/allocator/calls.go
+++ b/internal/allocator/calls.go
@@ -39,9 +39,14 @@
 	if err := decode(&message); err != nil {
 		return nil, err
 	}
+	if message.Leaving {
+		allocator.Observe(broker.Upstream{ID: message.Upstream, StartedAt: message.StartedAt}, broker.Notice{Leaving: true})
+	}
 	if service := allocator.service(message.Service); service != nil {
 		if _, term := service.brokerVM(); term == message.Term && service.isBroker() {
-			service.broker.Release(broker.Result{Ticket: message.Ticket, Outcome: message.Outcome, Elapsed: message.Elapsed, FreeSlot: message.FreeSlot})
+			service.broker.Release(broker.Result{
+				Ticket: message.Ticket, Outcome: message.Outcome, Elapsed: message.Elapsed, FreeSlot: message.FreeSlot, Notice: broker.Notice{BusyFor: message.BusyFor},
+			})
 		}
 	}
 	return nil, nil
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -58,6 +58,12 @@
 	Outcome  broker.Outcome `cbor:"4,keyasint"`
 	Elapsed  time.Duration  `cbor:"5,keyasint"`
 	FreeSlot bool           `cbor:"6,keyasint,omitempty"`
+	// Leaving and BusyFor are what the upstream has said of itself, see broker.Notice.
+	Leaving bool          `cbor:"7,keyasint,omitempty"`
+	BusyFor time.Duration `cbor:"8,keyasint,omitempty"`
+	// Upstream and StartedAt identify the upstream if Leaving is set.
+	Upstream  string `cbor:"9,keyasint,omitempty"`
+	StartedAt int64  `cbor:"10,keyasint,omitempty"`
 }
 
 // reportMessage is a VM's periodic heartbeat to a broker.
--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -32,8 +32,13 @@
 	sent := exchange.Clock.Now()
 	response, err := exchange.send(ctx, slot.Upstream)
 	result := broker.Result{Ticket: slot.Ticket, Outcome: exchange.classifyOutcome(ctx, response, err), Elapsed: exchange.Clock.Now().Sub(sent)}
-	if response != nil && response.Metadata.Load != nil {
-		result.FreeSlot = response.Metadata.Load.Running < slot.Upstream.Slots
+	if response != nil {
+		result.Notice = broker.Notice{Leaving: response.Metadata.Leaving, BusyFor: response.Metadata.BusyFor}
+		exchange.Allocator.Observe(slot.Upstream, result.Notice)
+		exchange.Metrics.countNotice(exchange.service.Name, result.Notice)
+		if response.Metadata.Load != nil {
+			result.FreeSlot = response.Metadata.Load.Running < slot.Upstream.Slots
+		}
 	}
 	if response == nil || response.Rest == nil {
 		exchange.Allocator.Release(exchange.service.Name, slot, result)
@@ -42,7 +47,7 @@
 	}
 	exchange.logSent(slot, result, response, err)
 	exchange.Metrics.observeAttempt(exchange.service.Name, result)
-	return exchange.answerOrRetry(ctx, slot.Upstream, result.Outcome, response)
+	return exchange.answerOrRetry(ctx, slot.Upstream, result, response)
 }
 
 // fingerprint returns a hash of the method, host, target and buffered body, which
@@ -133,7 +138,8 @@
 
 // answerOrRetry returns the answer after an attempt, or nil if the request is to be
 // tried again. A request that may have run is retried only on idempotent routes.
-func (exchange *exchange) answerOrRetry(ctx context.Context, upstream broker.Upstream, outcome broker.Outcome, response *sender.Response) *fronter.Response {
+func (exchange *exchange) answerOrRetry(ctx context.Context, upstream broker.Upstream, result broker.Result, response *sender.Response) *fronter.Response {
+	outcome := result.Outcome
 	if outcome == broker.Unreachable {
 		exchange.unsentAttempts++
 		if exchange.key == broker.NoKey || exchange.unsentAttempts > 1 {
@@ -168,7 +174,11 @@
 		case exchange.mayHaveRun:
 			return exchange.answerOutcomeUnknown(http.StatusBadGateway, "an earlier attempt may have run, the last was refused by the upstream")
 		}
-		return exchange.answerNotRun(http.StatusServiceUnavailable, "refused by the upstream", refusedRetryAfter)
+		retryAfter := refusedRetryAfter
+		if exchange.key != broker.NoKey {
+			retryAfter = max(retryAfter, result.BusyFor) // no other upstream can serve the key
+		}
+		return exchange.answerNotRun(http.StatusServiceUnavailable, "refused by the upstream", retryAfter)
 	case broker.Failed:
 		if mayRetry && exchange.route.Idempotent {
 			closeRest(response)
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -45,6 +45,8 @@
 	// Acquire returns a slot or a refusal. It blocks until one is decided or ctx is
 	// done.
 	Acquire(ctx context.Context, service string, request broker.Request) Slot
+	// Observe records what an upstream has said of itself in a response.
+	Observe(upstream broker.Upstream, notice broker.Notice)
 	// Release frees a slot and reports how the attempt ended.
 	Release(service string, slot Slot, result broker.Result)
 }
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -49,6 +49,7 @@
 	slotRequests []broker.Request
 	results      []broker.Result
 	requests     []*sender.Request
+	notices      []broker.Notice
 	// responses are used in order; the last one is repeated.
 	responses []func(ctx context.Context, request *sender.Request) (*sender.Response, error)
 }
@@ -66,6 +67,12 @@
 	return courier.Slot{Decision: broker.Decision{Ticket: uint64(len(backend.slotRequests)), Upstream: broker.Upstream{ID: "u" + strconv.Itoa(len(backend.slotRequests)), Slots: 2}}}
 }
 
+func (backend *fakeBackend) Observe(_ broker.Upstream, notice broker.Notice) {
+	if notice != (broker.Notice{}) {
+		backend.notices = append(backend.notices, notice)
+	}
+}
+
 func (backend *fakeBackend) Release(_ string, _ courier.Slot, result broker.Result) {
 	backend.results = append(backend.results, result)
 }
@@ -262,6 +269,21 @@
 	})
 }
 
+// What an upstream says of itself must reach the allocator at once, and a caller whose key
+// only a busy upstream can serve must be told when that takes requests again.
+func TestNoticesOfUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &fakeBackend{responses: []sendFunc{respond(503, sender.Metadata{NotExecuted: true, Leaving: true, BusyFor: 3 * time.Second})}}
+		answer := newForwarder(backend).Serve(t.Context(), request("/keyed/1", "Key", "7"))
+		assert.Equal(t, answer.Status, 503)
+		assert.Equal(t, answer.Header.Get("Retry-After"), "3.000")
+		assert.DeepEqual(t, backend.notices[0], broker.Notice{Leaving: true, BusyFor: 3 * time.Second})
+		assert.DeepEqual(t, backend.results[0].Notice, backend.notices[0])
+		answer = newForwarder(backend).Serve(t.Context(), request("/book/1"))
+		assert.Equal(t, answer.Header.Get("Retry-After"), "0.150", "another upstream may serve it")
+	})
+}
+
 func TestNoConfiguration(t *testing.T) {
 	empty := &courier.Forwarder{Clock: clocker.System{}, Protocol: protocol{}, Log: slog.New(slog.DiscardHandler)}
 	assert.Equal(t, empty.Serve(t.Context(), request("/book/1")).Status, 503)
--- a/internal/courier/log.go
+++ b/internal/courier/log.go
@@ -19,6 +19,7 @@
 	answerSeconds  *prometheus.HistogramVec
 	attempts       *prometheus.CounterVec
 	attemptSeconds *prometheus.HistogramVec
+	notices        *prometheus.CounterVec
 }
 
 // latencyBuckets range from a fast refusal to the longest timeouts, in seconds.
@@ -40,7 +41,10 @@
 			Name: "cuminstream_attempt_seconds", Help: "Time from the send to the end of an attempt, by service.", Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
-	registerer.MustRegister(metrics.answers, metrics.answerSeconds, metrics.attempts, metrics.attemptSeconds)
+	metrics.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cuminstream_upstream_notices_total", Help: "Responses in which upstreams say that they are leaving or busy, by service and notice.",
+	}, []string{"service", "notice"})
+	registerer.MustRegister(metrics.answers, metrics.answerSeconds, metrics.attempts, metrics.attemptSeconds, metrics.notices)
 	return metrics
 }
 
@@ -52,6 +56,18 @@
 	metrics.attemptSeconds.WithLabelValues(service).Observe(result.Elapsed.Seconds())
 }
 
+func (metrics *Metrics) countNotice(service string, notice broker.Notice) {
+	if metrics == nil {
+		return
+	}
+	if notice.Leaving {
+		metrics.notices.WithLabelValues(service, "leaving").Inc()
+	}
+	if notice.BusyFor > 0 {
+		metrics.notices.WithLabelValues(service, "busy").Inc()
+	}
+}
+
 func (metrics *Metrics) observeAnswer(route string, status int, elapsed time.Duration) {
 	if metrics == nil {
 		return
@@ -85,6 +101,9 @@
 	}
 	if response != nil {
 		attributes = append(attributes, slog.Int("status", response.Status))
+		if value := response.Metadata.InvalidRetryAfter; value != "" {
+			attributes = append(attributes, slog.String("ignoredRetryAfter", value))
+		}
 		if load := response.Metadata.Load; load != nil {
 			attributes = append(attributes, slog.Int("running", load.Running), slog.Int("waiting", load.Waiting))
 		}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -31,10 +31,25 @@
 	// Sealed means that the response has the seal header, which only the upstream's
 	// program sets.
 	Sealed bool
+	// Leaving means that the upstream says that it is about to end.
+	Leaving bool
+	// BusyFor is for how long the upstream wants no request; 0 if it does not say so.
+	BusyFor time.Duration
+	// InvalidRetryAfter is a Retry-After value that is no number of seconds.
+	InvalidRetryAfter string
 	// Load is nil if the upstream does not report its load.
 	Load *Load
 }
 
+// withoutUnprovenNotices returns the metadata without what the upstream says of itself,
+// unless the response names the request, and the upstream is the one that it is meant for.
+func (metadata Metadata) withoutUnprovenNotices(requestID string) Metadata {
+	if metadata.RequestID == "" || metadata.RequestID != requestID || metadata.Misdirected {
+		metadata.Leaving, metadata.BusyFor = false, 0
+	}
+	return metadata
+}
+
 // Load is the number of running and queued requests that an upstream reports.
 type Load struct{ Running, Waiting int }
 
@@ -381,7 +396,7 @@
 		}
 		conn.idleTimeout = parseIdleTimeout(message.Header)
 		response = &Response{
-			Status: message.StatusCode, Header: message.Header, Body: body, Metadata: metadata, ContentLength: int64(len(body)),
+			Status: message.StatusCode, Header: message.Header, Body: body, Metadata: metadata.withoutUnprovenNotices(request.ID), ContentLength: int64(len(body)),
 		}
 		if len(body) > maxBufferedBody {
 			response.Rest, response.ContentLength = message.Body, message.ContentLength
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -24,7 +24,11 @@
 type protocol struct{}
 
 func (protocol) ParseMetadata(status int, header http.Header) sender.Metadata {
-	return sender.Metadata{RequestID: header.Get("Id"), NotExecuted: status == http.StatusServiceUnavailable}
+	busyFor, _ := time.ParseDuration(header.Get("Busy"))
+	return sender.Metadata{
+		RequestID: header.Get("Id"), NotExecuted: status == http.StatusServiceUnavailable, Misdirected: status == http.StatusMisdirectedRequest,
+		Leaving: header.Get("Leaving") != "", BusyFor: busyFor,
+	}
 }
 
 // startUpstream listens on a free port and runs one script for each connection, in
@@ -127,6 +131,27 @@
 	assert.Equal(t, response.Status, 200)
 }
 
+// What an upstream says of itself is believed only in the response to this request, and not
+// from another upstream at its address.
+func TestNoticesNeedProof(t *testing.T) {
+	const notices = "Leaving: 1\r\nBusy: 2s\r\nContent-Length: 0\r\n\r\n"
+	for name, test := range map[string]struct {
+		text string
+		want bool
+	}{
+		"its response":     {"HTTP/1.1 503 Busy\r\nId: 1\r\n" + notices, true},
+		"another upstream": {"HTTP/1.1 421 Misdirected\r\nId: 1\r\n" + notices, false},
+		"without an ID":    {"HTTP/1.1 503 Busy\r\n" + notices, false},
+		"another request":  {"HTTP/1.1 503 Busy\r\nId: 0\r\n" + notices + okResponse, false},
+	} {
+		target := startUpstream(t, func(conn net.Conn, requests *bufio.Reader) { respond(conn, requests, test.text) })
+		response, err := newSender().Send(t.Context(), target, request("1"))
+		assert.NilError(t, err, name)
+		assert.Equal(t, response.Metadata.Leaving, test.want, name)
+		assert.Equal(t, response.Metadata.BusyFor > 0, test.want, name)
+	}
+}
+
 // A connection with bytes after the response is not reused: a later request would
 // take them for its response.
 func TestBytesAfterResponse(t *testing.T) {
--- a/internal/standin/soaker/caller.go
+++ b/internal/standin/soaker/caller.go
@@ -50,7 +50,7 @@
 		request.Header.Set("Cuminstream-Request-Id", id)
 		request.Header.Set("Cuminstream-Deadline-Ms", strconv.Itoa(int(timeLimit.Milliseconds())))
 		request.Header.Set("Cuminstream-Shard-Key", strconv.Itoa(random.IntN(keyCount)))
-		soak.judge.sending(id, once)
+		soak.judge.sending(id, once, vm)
 		soak.exchange(client, request, id, size)
 		time.Sleep(time.Duration(random.Int64N(int64(2 * pause))))
 	}
--- a/internal/standin/soaker/judge.go
+++ b/internal/standin/soaker/judge.go
@@ -15,13 +15,20 @@
 	failures []string
 	// answerAll is set if no request that runs may end without an answer.
 	answerAll bool
+	vms       map[string]*VM       // to which a request is sent, by ID
+	sentAt    map[string]time.Time // by ID
+	leaving   map[recipient]time.Time
+	busy      map[recipient][]*busyWindow
 	// Answers counts answers by status.
 	Answers map[int]int
 }
 
 // NewJudge returns a judge that has seen nothing.
 func NewJudge() *Judge {
-	return &Judge{runs: map[string]int{}, once: map[string]bool{}, refused: map[string]bool{}, Answers: map[int]int{}}
+	return &Judge{
+		runs: map[string]int{}, once: map[string]bool{}, refused: map[string]bool{}, Answers: map[int]int{},
+		vms: map[string]*VM{}, sentAt: map[string]time.Time{}, leaving: map[recipient]time.Time{}, busy: map[recipient][]*busyWindow{},
+	}
 }
 
 // fail records a broken promise.
@@ -36,11 +43,11 @@
 	return append([]string(nil), judge.failures...)
 }
 
-// sending records a request before it is sent.
-func (judge *Judge) sending(id string, once bool) {
+// sending records a request before it is sent to the VM.
+func (judge *Judge) sending(id string, once bool, vm *VM) {
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
-	judge.once[id] = once
+	judge.once[id], judge.vms[id], judge.sentAt[id] = once, vm, time.Now()
 }
 
 // ran records that an upstream begins to run a request.
--- a/internal/standin/soaker/pipeline.go
+++ b/internal/standin/soaker/pipeline.go
@@ -35,6 +35,7 @@
 	depth  int
 	random *rand.Rand
 	count  int
+	vm     *VM // of the open connection
 }
 
 // pipelined is a request on the connection of a pipeline.
@@ -47,6 +48,7 @@
 func (pipeline *pipeline) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		vm := pipeline.soak.vms[pipeline.random.IntN(len(pipeline.soak.vms))]
+		pipeline.vm = vm
 		conn, err := net.DialTimeout("tcp", vm.Front, time.Second)
 		if err != nil {
 			pipeline.soak.sleep(sendInterval)
@@ -109,7 +111,7 @@
 		head = fmt.Sprintf("POST /once/x?work=%d HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n", work, common, uploadSize)
 		rest = strings.Repeat("x", uploadSize)
 	}
-	pipeline.soak.judge.sending(request.id, upload)
+	pipeline.soak.judge.sending(request.id, upload, pipeline.vm)
 	_, err := io.WriteString(conn, head+rest[:len(rest)/2])
 	if err == nil && upload {
 		time.Sleep(5 * time.Millisecond)
--- a/internal/standin/soaker/planned.go
+++ b/internal/standin/soaker/planned.go
@@ -10,6 +10,8 @@
 	// drainTime is how long an upstream serves after it has reported that it is draining:
 	// drain-s and a little longer.
 	drainTime = 3 * time.Second
+	// unreportedDrain is how long before its report to the store its responses say it.
+	unreportedDrain = 3 * time.Second
 	// stopsAtOnce bounds the VMs that stop at the same time.
 	stopsAtOnce = 2
 )
@@ -18,7 +20,7 @@
 func (soak *soak) drawPlanned() (name string, act func() error) {
 	vm := soak.vms[soak.random.IntN(len(soak.vms))]
 	index := soak.random.IntN(len(soak.upstreams))
-	switch soak.random.IntN(6) {
+	switch soak.random.IntN(8) {
 	case 0:
 		return "reload " + vm.Name, func() error { return vm.signal(syscall.SIGHUP) }
 	case 1:
@@ -26,6 +28,14 @@
 	case 2:
 		upstream := soak.upstreams[index]
 		return "drain and restart " + upstream.ID, func() error { return soak.drainAndRestart(upstream, soak.proxies[index]) }
+	case 3, 4:
+		upstream := soak.upstreams[index]
+		return "busy " + upstream.ID, func() error {
+			upstream.mutex.Lock()
+			upstream.busyUntil = time.Now().Add(busySpell)
+			upstream.mutex.Unlock()
+			return nil
+		}
 	default:
 		return "stop " + vm.Name, func() error { return soak.plannedStop(vm) }
 	}
@@ -56,6 +66,7 @@
 	if draining {
 		return nil
 	}
+	soak.sleep(unreportedDrain) // only its responses say that it is leaving
 	if err := soak.store.Put("servers", upstream.ID, upstream.entry(proxy.address(), "draining")); err != nil {
 		return err
 	}
--- a/internal/standin/soaker/upstream.go
+++ b/internal/standin/soaker/upstream.go
@@ -43,10 +43,12 @@
 
 	mutex    sync.Mutex
 	draining bool
-	sequence int // of the last entry
-	waiting  int
-	seen     map[int]uint64 // highest fence by key
-	until    map[int]time.Time
+	// busyUntil is until when it refuses all requests, and wants none.
+	busyUntil time.Time
+	sequence  int // of the last entry
+	waiting   int
+	seen      map[int]uint64 // highest fence by key
+	until     map[int]time.Time
 }
 
 // start begins to serve at the address; ":0" picks a port.
@@ -143,6 +145,11 @@
 		refuse(writer, http.StatusMisdirectedRequest)
 		return
 	}
+	upstream.judge.arrived(id, upstream)
+	if upstream.writeNotices(writer, id) {
+		refuse(writer, http.StatusServiceUnavailable)
+		return
+	}
 	upstream.mutex.Lock()
 	full := upstream.waiting >= maxQueue+slots
 	if !full {
--- a/internal/standin/soaker/vm.go
+++ b/internal/standin/soaker/vm.go
@@ -29,6 +29,7 @@
 	mutex   sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
+	starts  int
 }
 
 // freePorts returns ports that were free a moment ago.
@@ -97,6 +98,7 @@
 	}
 	ended := make(chan struct{})
 	vm.process, vm.ended = process, ended
+	vm.starts++
 	vm.group.Go(func() error {
 		defer close(ended)
 		_ = process.Wait() // its end is expected: a signal ends it
@@ -105,6 +107,13 @@
 	return nil
 }
 
+// life returns how often the VM has started.
+func (vm *VM) life() int {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	return vm.starts
+}
+
 // runs reports whether the process has not ended.
 func (vm *VM) runs() bool {
 	vm.mutex.Lock()
--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -44,6 +44,9 @@
 	// for those that arrive meanwhile.
 	utilization := broker.utilization(request, waiter.owner, now)
 	if lateWait := wait / max(1-utilization, 0.01); utilization > overloadThreshold || lateWait+serviceTime > lateTimeoutShare*timeout {
+		if end, busy := broker.busyEnd(request, waiter.owner, now); busy {
+			return broker.busyRefusal(waiter, end, now), true
+		}
 		return refuse(Overloaded, durationOfSeconds(wait))
 	}
 	return Decision{}, false
@@ -110,7 +113,8 @@
 		rate += float64(upstream.slotLimit) / upstream.expectedServiceTime()
 	}
 	if slots == 0 {
-		return 0, 0, false
+		end, busy := broker.busyEnd(request, waiter.owner, now)
+		return end.Sub(now).Seconds(), broker.meanServiceTime(), busy
 	}
 	serviceTime = float64(slots) / rate
 	ahead := broker.countAhead(noOwner, request.Rank)
@@ -147,6 +151,9 @@
 	}
 	ahead := broker.countAhead(upstream.ID, request.Rank)
 	serviceTime = upstream.expectedServiceTime()
+	if end, busy := broker.busyEnd(request, ownership, now); busy {
+		return end.Sub(now).Seconds() + float64(ahead)*serviceTime/float64(upstream.slotLimit), serviceTime, true
+	}
 	if free := upstream.freeSlots(); free > ahead {
 		return 0, serviceTime, true
 	}
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -187,6 +187,9 @@
 	broker.recordPathResult(ticket.zone, ticket.upstream, result.Outcome, now)
 	broker.trackCrashSuspects(ticket.upstream, ticket.fingerprint, result.Outcome, now)
 	broker.expireTickets(now)
+	if result.BusyFor > 0 {
+		broker.refuseBusy(ticket.vm, now)
+	}
 	if broker.Owners != nil {
 		broker.dispatch(broker.queues[ticket.upstream.ID], now)
 	}
--- a/pkg/broker/types.go
+++ b/pkg/broker/types.go
@@ -82,8 +82,18 @@
 	Abandoned   Outcome = "abandoned"   // the caller disconnected
 )
 
+// Notice is what an upstream says of itself in a response.
+type Notice struct {
+	// Leaving means that this process of the upstream is about to end.
+	Leaving bool
+	// BusyFor is for how long the upstream wants no request from the VM; 0 if it does not
+	// say so.
+	BusyFor time.Duration
+}
+
 // Result reports the end of the use of a slot.
 type Result struct {
+	Notice
 	Ticket  uint64
 	Outcome Outcome
 	// Elapsed is the time from sending the request to the end.
--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -44,10 +44,11 @@
 	pausedUntil      time.Time
 	connectFailures  map[string]int       // consecutive, by VM
 	unreachableUntil map[string]time.Time // by VM
+	busyUntil        map[string]time.Time // by VM from which the upstream wants no request
 }
 
 func newUpstreamState(info Upstream, serviceTime float64) *upstreamState {
-	return &upstreamState{Upstream: info, slotLimit: info.Slots, serviceTime: serviceTime, foreign: map[string]int{}, unreachableUntil: map[string]time.Time{}, connectFailures: map[string]int{}}
+	return &upstreamState{Upstream: info, slotLimit: info.Slots, serviceTime: serviceTime, foreign: map[string]int{}, unreachableUntil: map[string]time.Time{}, connectFailures: map[string]int{}, busyUntil: map[string]time.Time{}}
 }
 
 // inUse returns the number of slots in use, as far as this broker knows.
@@ -73,9 +74,10 @@
 	return upstream.freeSlots()
 }
 
-// usable reports whether the upstream is neither paused nor unreachable from the VM.
+// usable reports whether the upstream is neither paused nor unreachable from the VM, and
+// takes its requests.
 func (upstream *upstreamState) usable(vm string, now time.Time) bool {
-	return !now.Before(upstream.pausedUntil) && !now.Before(upstream.unreachableUntil[vm])
+	return !now.Before(upstream.pausedUntil) && !now.Before(upstream.unreachableUntil[vm]) && !now.Before(upstream.busyUntil[vm])
 }
 
 // expectedServiceTime returns the expected service time in seconds.
@@ -84,6 +86,9 @@
 // recordResult updates the statistics and pauses of the upstream with the result
 // of a request of the VM.
 func (upstream *upstreamState) recordResult(vm string, result Result, now time.Time) {
+	if until := now.Add(result.BusyFor); until.After(upstream.busyUntil[vm]) && result.BusyFor > 0 {
+		upstream.busyUntil[vm] = until
+	}
 	switch result.Outcome {
 	case Served, Failed:
 		upstream.interruptions, upstream.consecutiveSheds = 0, 0
