--- a/pkg/splitter/splitter.go
+++ b/pkg/splitter/splitter.go
@@ -14,6 +14,9 @@
 	total          int
 }
 
+// maxOffset bounds the picks that a new splitter skips.
+const maxOffset = 10_000
+
 // New returns a splitter for the weights, at least one of which must be above 0.
 // offset skips that many picks, so that the splitters of many VMs do not all pick the
 // same backend first.
@@ -23,7 +26,7 @@
 		splitter.total += weight
 	}
 	if splitter.total > 0 {
-		for range offset % splitter.total {
+		for range offset % min(splitter.total, maxOffset) {
 			splitter.Next()
 		}
 	}
