Refuse field names that are no tokens

Upstreams saw: a field name with a space before its colon was passed on, which a sound upstream rejects and another may read as a different field (review, found in passing).

Cause: net/http keeps names that are no tokens as they are.

Ruled out: dropping the field (the request would change on the way).

Change: such a request is answered 400 and its connection closed. Test: two cases of TestMalformedRequests; before, the handler was called.

--- a/internal/fronter/connection.go
+++ b/internal/fronter/connection.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/cuminstream/cuminstream/internal/limiter"
 	"github.com/cuminstream/cuminstream/internal/peeker"
 )
@@ -165,6 +167,7 @@
 
 var (
 	errNoHost  = errors.New("the request has no host")
+	errField   = errors.New("a field name of the request's header is not a token")
 	errVersion = errors.New("the request's protocol is not HTTP/1.0 or HTTP/1.1")
 )
 
@@ -176,6 +179,12 @@
 	case message.Host == "" && message.ProtoAtLeast(1, 1):
 		return errNoHost
 	}
+	for name := range message.Header {
+		// net/http keeps names such as "X ", with a space before the colon.
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errField
+		}
+	}
 	return nil
 }
 
--- a/internal/fronter/fronter_test.go
+++ b/internal/fronter/fronter_test.go
@@ -221,6 +221,8 @@
 		"negative length":         {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n", 400},
 		"unknown transfer coding": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n", 400},
 		"folded header":           {"GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n Y: b\r\n\tZ\r\n: c\r\n\r\n", 400},
+		"space before colon":      {"GET / HTTP/1.1\r\nHost: h\r\nX : y\r\n\r\n", 400},
+		"space in a field name":   {"GET / HTTP/1.1\r\nHost: h\r\nX Y: z\r\n\r\n", 400},
 		"header too large":        {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20_000) + "\r\n\r\n", 431},
 	} {
 		conn, reader := running.dial(t)
