Apply a lower limit for the lifetime of grants at once

Callers would have seen: after hold-max-s is set below 4 s, the broker's grants are refused until its term ends, and its keys go unserved (review, found from the source).

Cause: the keeper took the limit at the start of its term.

Ruled out: ending the term on a change (the keys would change hands).

Change: Tune passes the limit on to the keepers. The next renewals use it, and are sent at a third of the lifetime if that is shorter than 1.3 s.

Test: TestLowerMaxGrantTTL; with SetMaxGrantTTL made a no-op (trial) no key is held after 6 s. The fake upstreams refuse longer grants.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -141,11 +141,20 @@
 
 // Tune sets the retry budget of each service, the longest time for which keys can be
 // granted, and how long draining upstreams continue to serve. A broker applies the
-// retry budget and the grant time from its next term on.
+// retry budget from its next term on.
 func (allocator *Allocator) Tune(retryWindow time.Duration, retryRatio float64, retrySlack int, maxGrantTTL, drainPeriod time.Duration) {
 	allocator.mutex.Lock()
-	defer allocator.mutex.Unlock()
 	allocator.tunables = tunables{retryWindow, retryRatio, retrySlack, maxGrantTTL, drainPeriod}
+	services := slices.Collect(maps.Values(allocator.services))
+	allocator.mutex.Unlock()
+	for _, service := range services {
+		service.mutex.Lock()
+		keeper := service.keeper
+		service.mutex.Unlock()
+		if keeper != nil {
+			keeper.SetMaxGrantTTL(maxGrantTTL)
+		}
+	}
 }
 
 // Init registers the handlers of calls from other VMs. It must be called before the
--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -32,6 +32,8 @@
 	objects   map[string]storer.Object
 	revision  uint64
 	storeDown bool
+	// maxTTL is the longest lifetime of a grant that upstreams accept; 0 for no limit.
+	maxTTL time.Duration
 
 	lostAnswerRate float64 // share of calls whose answer is lost
 	lateGrantRate  float64 // share of grants that get no answer and take effect seconds later
@@ -120,7 +122,7 @@
 func (cluster *cluster) acceptGrant(upstream *fakeUpstream, grant keeper.Grant, arrived time.Time) error {
 	now := time.Now()
 	expiry := arrived.Add(time.Duration(float64(grant.TTL) * 1.02)) // a slow clock
-	if !upstream.running || !now.Before(expiry) {
+	if !upstream.running || !now.Before(expiry) || (cluster.maxTTL > 0 && grant.TTL > cluster.maxTTL) {
 		return errCallFailed
 	}
 	for key := grant.Keys.From; key <= grant.Keys.To; key++ {
--- a/internal/keeper/grant.go
+++ b/internal/keeper/grant.go
@@ -76,7 +76,7 @@
 		if err == nil || errors.Is(err, ErrFenced) {
 			delete(keeper.unansweredGrants, unanswered)
 		}
-		keeper.handleGrantResult(assignment, now, err)
+		keeper.handleGrantResult(assignment, now, grant.TTL, err)
 		keeper.signal()
 		return nil
 	})
@@ -97,8 +97,9 @@
 	return last
 }
 
-// handleGrantResult records the result of a grant call that was made at the time sent.
-func (keeper *Keeper) handleGrantResult(assignment *assignment, sent time.Time, err error) {
+// handleGrantResult records the result of a call for a grant with the ttl that was made at
+// the time sent.
+func (keeper *Keeper) handleGrantResult(assignment *assignment, sent time.Time, ttl time.Duration, err error) {
 	now := keeper.Clock.Now()
 	if err == nil {
 		if assignment.phase == granting {
@@ -107,8 +108,8 @@
 		}
 		first := assignment.phase == granting
 		assignment.phase, assignment.failures = held, 0
-		assignment.earliestExpiry = sent.Add(time.Duration(float64(min(grantTTL, keeper.MaxGrantTTL)) / clockDriftAllowance))
-		assignment.due = sent.Add(renewInterval)
+		assignment.earliestExpiry = sent.Add(time.Duration(float64(ttl) / clockDriftAllowance))
+		assignment.due = sent.Add(min(renewInterval, ttl/3))
 		if first {
 			keeper.group.Go(func() error { keeper.Broker.Redispatch(); return nil })
 		}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -61,7 +61,8 @@
 	Granter Granter
 	Broker  *broker.Broker
 	Log     *slog.Logger
-	// MaxGrantTTL is the longest lifetime of a grant that upstreams accept.
+	// MaxGrantTTL is the longest lifetime of a grant that upstreams accept. It can change,
+	// see SetMaxGrantTTL.
 	MaxGrantTTL time.Duration
 	// StaleRenewals is how long after the takeover of the ledger earlier brokers may
 	// go on renewing grants.
@@ -168,6 +169,14 @@
 	return time.Duration(float64(ttl)*clockDriftAllowance) + maxDeliveryDelay
 }
 
+// SetMaxGrantTTL changes MaxGrantTTL. It takes effect with the next renewals, since upstreams
+// refuse longer grants.
+func (keeper *Keeper) SetMaxGrantTTL(ttl time.Duration) {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	keeper.MaxGrantTTL = ttl
+}
+
 // SetUpstreams sets the registered upstreams of all configured services.
 func (keeper *Keeper) SetUpstreams(list []broker.Upstream) {
 	keeper.mutex.Lock()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -326,6 +326,25 @@
 	})
 }
 
+// A lower limit for the lifetime of grants must take effect while the broker is in office.
+// Before, it was refused every grant until its term ended.
+func TestLowerMaxGrantTTL(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 1)
+		first := startWithUpstreams(cluster, 5)
+		defer first.stop()
+		cluster.mutex.Lock()
+		cluster.maxTTL = 1500 * time.Millisecond
+		cluster.mutex.Unlock()
+		first.keeper.SetMaxGrantTTL(1500 * time.Millisecond)
+		time.Sleep(6 * time.Second)
+		for range 20 {
+			assert.Equal(t, first.heldFraction(), 1.0)
+			time.Sleep(110 * time.Millisecond)
+		}
+	})
+}
+
 // A broker that learns that the previous one has ended must wait for the grants that
 // the previous one may have sent until then to expire, but not for further renewals.
 func TestPreviousBrokerEndedShortensWaitForExpiry(t *testing.T) {
