Show that cuminstreamd believes a late refusal, as a red test

Callers would see: "not run" for a request that its upstream runs, with cuminstreamd.

Tried in thought and left: closing the connection after a refusal (net/http hands it to a waiting request first, which would then have an unknown outcome, under overload often), and believing no refusal on a connection that was used before (most refusals would turn into unknown outcomes). The responses have to name their request, which changes the protocol of upstreams.

--- a/internal/upstreamer/client_test.go
+++ b/internal/upstreamer/client_test.go
@@ -115,6 +115,32 @@
 	}
 }
 
+// Guards against "not started" for a request that the upstream runs: a faulty upstream sends
+// the refusal of an earlier request once more when the next request has arrived on the
+// connection.
+func TestLateRefusalIsNotForTheNextRequest(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nCuminstream-Refusal: shed\r\nContent-Length: 0\r\n\r\n"
+	refused := map[net.Conn]bool{}
+	upstream := startRawServer(t, func(_ *http.Request, conn net.Conn) bool {
+		answer := refusal
+		if len(refused) > 0 { // it runs this request
+			answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		}
+		if refused[conn] {
+			answer = refusal + answer
+		}
+		refused[conn] = true
+		_, _ = conn.Write([]byte(answer))
+		return true
+	})
+	client := newClient(t)
+	var notStarted *dispatcher.NotStartedError
+	_, err := client.Send(t.Context(), upstream, request(http.MethodPost), 1)
+	assert.Assert(t, errors.As(err, &notStarted), "%v", err)
+	_, err = client.Send(t.Context(), upstream, request(http.MethodPost), 1)
+	assert.Assert(t, !errors.As(err, &notStarted), "%v", err)
+}
+
 // Guards against a request that is reported as possibly run, although its connection
 // was refused or the upstream refused it as fenced or shed.
 func TestProvablyNotSent(t *testing.T) {
