Serve downloads, and the other routes of a configuration with an unusable entry

A row of a service or route that is not valid takes down only itself; Config.Faults names the row and the field, and the daemon logs them. A route that can still be matched is answered 503 with Retry-After, because a caller does not repeat a request after 404.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -223,6 +223,9 @@
 	if exchange.route == nil {
 		return exchange.answerWith(http.StatusNotFound, "no route")
 	}
+	if exchange.route.Fault != nil {
+		return exchange.answerNotRun(http.StatusServiceUnavailable, "the route is not usable: "+exchange.route.Fault.Error(), noConfigRetryAfter)
+	}
 	exchange.service = exchange.table.Config.Services[exchange.selectService(exchange.route)]
 	exchange.key = broker.NoKey
 	if exchange.service.Keyed {
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -125,11 +125,20 @@
 			{Name: "read", Host: "h", PathPrefix: "/read/", Idempotent: true, Timeout: time.Second, TargetLatency: 300 * time.Millisecond, MaxAttempts: 2, Services: onlyService("bookings")},
 			{Name: "book", Host: "h", PathPrefix: "/book/", Timeout: time.Second, TargetLatency: 300 * time.Millisecond, MaxAttempts: 2, Services: onlyService("bookings")},
 			{Name: "keyed", Host: "h", PathPrefix: "/keyed/", Idempotent: true, Timeout: time.Second, MaxAttempts: 2, Services: onlyService("quotes")},
+			{Name: "unusable", Host: "h", PathPrefix: "/unusable/", Fault: errors.New("kind")},
 		},
 	}))
 	return forwarder
 }
 
+// Guards against 404 for a route that the configuration has, but that this version cannot
+// serve: callers do not repeat a request after 404.
+func TestUnusableRoute(t *testing.T) {
+	answer := newForwarder(&fakeBackend{}).Serve(t.Context(), request("/unusable/1"))
+	assert.Equal(t, answer.Status, http.StatusServiceUnavailable)
+	assert.Assert(t, answer.Header.Get("Retry-After") != "")
+}
+
 func request(target string, header ...string) *fronter.Request {
 	created := &fronter.Request{Method: "GET", Target: target, Host: "h", Header: http.Header{"Id": {"r1"}, "Left": {"2s"}}, ReceivedAt: time.Now()}
 	for i := 0; i+1 < len(header); i += 2 {
--- a/internal/edger/config.go
+++ b/internal/edger/config.go
@@ -59,6 +59,9 @@
 	}
 	edge.allocator.AddServices(config)
 	if edge.courier.SetTable(matcher.New(config)) {
+		for _, fault := range config.Faults {
+			edge.Log.Warn("an entry of the configuration is not usable; the others are in force", "version", config.Version, "error", fault.Error())
+		}
 		edge.Log.Info("configuration in force", "version", config.Version, "revision", object.Revision,
 			"routes", len(config.Routes), "services", len(config.Services))
 	}
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -17,6 +17,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Faults are the errors of the entries that cannot be used. They are reported, and the
+	// other entries are in force.
+	Faults []error
 }
 
 // Route says how the requests of one host and path prefix are served.
@@ -28,6 +31,8 @@
 	Idempotent bool
 	// Upload marks requests with large bodies.
 	Upload bool
+	// Download marks requests with large responses.
+	Download bool
 	// Timeout bounds the time until the caller gets a response; 0 when the route sets none.
 	Timeout time.Duration
 	// TargetLatency is the latency that callers expect; 0 when the route sets none.
@@ -38,6 +43,13 @@
 	MaxAttempts int
 	// Services share the requests by weight.
 	Services []WeightedService
+	// Fault is why no request of the route can be served, or nil.
+	Fault error
+}
+
+// Matchable reports whether requests can be matched with the route.
+func (route Route) Matchable() bool {
+	return route.Host != "" && strings.HasPrefix(route.PathPrefix, "/") && strings.HasSuffix(route.PathPrefix, "/")
 }
 
 // WeightedService names a service and its share of a route's requests.
@@ -71,23 +83,30 @@
 func (config *Config) Validate() error {
 	var errs []error
 	for _, route := range config.Routes {
-		if !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/") {
-			errs = append(errs, fmt.Errorf("route %q: prefix %q does not begin and end with a slash", route.Name, route.PathPrefix))
-		}
-		if route.Host == "" {
-			errs = append(errs, fmt.Errorf("route %q: host is missing", route.Name))
-		}
-		if route.MaxAttempts < 1 {
-			errs = append(errs, fmt.Errorf("route %q: %d attempts are fewer than 1", route.Name, route.MaxAttempts))
-		}
-		if route.Timeout < 0 || route.TargetLatency < 0 {
-			errs = append(errs, fmt.Errorf("route %q: timeout or target latency is below 0", route.Name))
-		}
-		errs = append(errs, config.validateServices(route)...)
+		errs = append(errs, config.ValidateRoute(route))
 	}
 	return errors.Join(errs...)
 }
 
+// ValidateRoute checks a route, whose services must be in the configuration, and returns
+// all errors in it, joined.
+func (config *Config) ValidateRoute(route Route) error {
+	var errs []error
+	if !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/") {
+		errs = append(errs, fmt.Errorf("route %q: prefix %q does not begin and end with a slash", route.Name, route.PathPrefix))
+	}
+	if route.Host == "" {
+		errs = append(errs, fmt.Errorf("route %q: host is missing", route.Name))
+	}
+	if route.MaxAttempts < 1 {
+		errs = append(errs, fmt.Errorf("route %q: %d attempts are fewer than 1", route.Name, route.MaxAttempts))
+	}
+	if route.Timeout < 0 || route.TargetLatency < 0 {
+		errs = append(errs, fmt.Errorf("route %q: timeout or target latency is below 0", route.Name))
+	}
+	return errors.Join(append(errs, config.validateServices(route)...)...)
+}
+
 func (config *Config) validateServices(route Route) (errs []error) {
 	weight := 0
 	for _, weighted := range route.Services {
