Apply all relayed changes of one revision

Cause: a deletion that a VM sees in a list gets the list's revision. Ruled out: the grace period after an outage, pages of a list, late check-ins (docs/incidents/lost-deletions.md). Change: changes that arrive together are compared with the newest revision from before them. Result: TestDeletionsInAListAreRelayed loses two deletions before and none after.

--- a/internal/storer/relay.go
+++ b/internal/storer/relay.go
@@ -146,9 +146,12 @@
 func (follower *Follower) Apply(changes []Change) {
 	follower.callbackMutex.Lock()
 	defer follower.callbackMutex.Unlock()
+	follower.mutex.Lock()
+	received := max(follower.revision, follower.listRevision)
+	follower.mutex.Unlock()
 	var applied []Change
 	for _, change := range changes {
-		if follower.recordChange(change) {
+		if follower.recordChange(change, received) {
 			applied = append(applied, change)
 		}
 	}
@@ -157,11 +160,13 @@
 	}
 }
 
-// recordChange records a change and reports whether it is new.
-func (follower *Follower) recordChange(change Change) bool {
+// recordChange records a change and reports whether it is new. received is the revision of
+// the newest change before those that arrived together with this one, of which several can
+// have one revision: the deletions that a list shows all have that of the list.
+func (follower *Follower) recordChange(change Change, received uint64) bool {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	if follower.history.revisions == nil || change.Object.Revision <= max(follower.revision, follower.listRevision) {
+	if follower.history.revisions == nil || change.Object.Revision <= received {
 		return false
 	}
 	follower.revision = change.Object.Revision
--- a/internal/storer/relay_test.go
+++ b/internal/storer/relay_test.go
@@ -282,6 +282,31 @@
 	}
 }
 
+// Guards against deletions that are lost on the way to another VM: those that the source
+// sees only in a list have the list's revision, as the newest change in it has. The VM
+// that missed them went on sending requests to upstreams that had left.
+func TestDeletionsInAListAreRelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		store := newObjectStore()
+		for _, name := range []string{"gone", "gone too", "main"} {
+			store.put(name)
+		}
+		source, _ := store.startFollower(ctx, false)
+		last, seen := store.startFollower(ctx, true)
+		time.Sleep(52 * time.Millisecond)
+		source.Relist()
+		store.remove("gone")
+		store.remove("gone too")
+		store.put("main")
+		time.Sleep(20 * time.Millisecond)
+		relayChanges(source, last)
+		assert.DeepEqual(t, seen.get(), map[string]uint64{"main": 6})
+		stop()
+		time.Sleep(time.Second)
+	})
+}
+
 // A source does not relay changes if its history lacks any that the other VM misses,
 // because it saw them only in a list or has dropped them.
 func TestChangesAfterGapAreNotRelayed(t *testing.T) {
