--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -64,6 +64,8 @@
 	// Upstream and StartedAt identify the upstream if Leaving is set.
 	Upstream  string `cbor:"9,keyasint,omitempty"`
 	StartedAt int64  `cbor:"10,keyasint,omitempty"`
+	// Slowness is that of the upstream's machine, see broker.Result.
+	Slowness float64 `cbor:"11,keyasint,omitempty"`
 }
 
 // reportMessage is a VM's periodic heartbeat to a broker.
--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -36,8 +36,8 @@
 		result.Notice = broker.Notice{Leaving: response.Metadata.Leaving, BusyFor: response.Metadata.BusyFor}
 		exchange.Allocator.Observe(slot.Upstream, result.Notice)
 		exchange.Metrics.countNotice(exchange.service.Name, result.Notice)
-		if response.Metadata.Load != nil {
-			result.FreeSlot = response.Metadata.Load.Running < slot.Upstream.Slots
+		if load := response.Metadata.Load; load != nil {
+			result.FreeSlot, result.Slowness = load.Running < slot.Upstream.Slots, load.Slowness
 		}
 	}
 	if response == nil || response.Rest == nil {
--- a/internal/courier/log.go
+++ b/internal/courier/log.go
@@ -105,7 +105,7 @@
 			attributes = append(attributes, slog.String("ignoredRetryAfter", value))
 		}
 		if load := response.Metadata.Load; load != nil {
-			attributes = append(attributes, slog.Int("running", load.Running), slog.Int("waiting", load.Waiting))
+			attributes = append(attributes, slog.Int("running", load.Running), slog.Int("waiting", load.Waiting), slog.Float64("slowness", load.Slowness))
 		}
 	}
 	if err != nil {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -51,7 +51,12 @@
 }
 
 // Load is the number of running and queued requests that an upstream reports.
-type Load struct{ Running, Waiting int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowness is the current service time of the machine as a multiple of the usual one;
+	// 0 if the upstream does not state it.
+	Slowness float64
+}
 
 // Protocol parses the headers of upstreams' responses.
 type Protocol interface {
--- a/pkg/broker/types.go
+++ b/pkg/broker/types.go
@@ -100,6 +100,9 @@
 	Elapsed time.Duration
 	// FreeSlot is whether the upstream reported a free slot.
 	FreeSlot bool
+	// Slowness is the service time of the upstream's machine at the end, as a multiple of
+	// the usual one; 0 if the upstream did not state it.
+	Slowness float64
 }
 
 // Ownership says which upstream serves a key.
