Bound the requests to cold upstreams

An upstream that has just started or returned tolerates few requests per second. Nothing limited them: a restarted upstream has all slots free, and got requests at the rate of a warm one.

The rate (warmup-per-s) and the time (warmup-s) come from the service's row, the overage and the slack from the settings; without one of them there is no bound. pkg/broker counts what each upstream was assigned in the last 1.2 s, which allows for requests that arrive bunched. The broker hands out three quarters of the bound and the VMs without a broker the rest, by a hash of their names, so that the sum also holds in local mode and right after a change of broker. Requests without a key go to other upstreams; requests for keys wait if they can be served in time, and are refused with the time of the wait otherwise.

An upstream is cold from the moment at which it appears in the list, whatever its entry says. Entries that state a time carry the number of their check-in, so that one that states the same time again starts it anew. Cuminstream-Warmup-Remaining in a response counts too.

Changes of the set of cold upstreams are logged by the broker; cuminstream_cold_upstreams and cuminstream_warmup_limited_total count them.

--- a/internal/allocator/acquire.go
+++ b/internal/allocator/acquire.go
@@ -115,7 +115,7 @@
 	}
 	service.broker.RecordResult(slot.Upstream.ID, allocator.VM, allocator.Zone, result)
 	message := releaseMessage{
-		Service: name, Term: slot.Term, Ticket: result.Ticket, Outcome: result.Outcome, Elapsed: result.Elapsed, FreeSlot: result.FreeSlot, BusyFor: result.BusyFor, Slowness: result.Slowness,
+		Service: name, Term: slot.Term, Ticket: result.Ticket, Outcome: result.Outcome, Elapsed: result.Elapsed, FreeSlot: result.FreeSlot, BusyFor: result.BusyFor, Slowness: result.Slowness, Warmup: result.Warmup,
 	}
 	if result.Leaving {
 		message.Leaving, message.Upstream, message.StartedAt = true, slot.Upstream.ID, slot.Upstream.StartedAt
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -69,6 +69,7 @@
 
 	mutex         sync.Mutex
 	tunables      tunables
+	warmupTerms   warmupTerms
 	drainingSince map[incarnation]time.Time // since when upstreams are draining or removed
 	storeKnownAt  time.Time                 // when a broker that reaches the store last answered a report
 	services      map[string]*service
@@ -176,14 +177,21 @@
 	defer allocator.updateMutex.Unlock()
 	allocator.mutex.Lock()
 	added := false
+	defined := map[*service]matcher.Service{}
 	for name, definition := range config.Services {
 		if allocator.services[name] == nil {
 			allocator.services[name] = allocator.newService(name, definition.Keyed)
 			added = true
 		}
+		defined[allocator.services[name]] = definition
 	}
 	registered := allocator.registered
 	allocator.mutex.Unlock()
+	for service, definition := range defined {
+		if service.setWarmup(definition) {
+			allocator.applyWarmup(service)
+		}
+	}
 	if added {
 		allocator.applyUpstreams(registered)
 	}
--- a/internal/allocator/calls.go
+++ b/internal/allocator/calls.go
@@ -45,7 +45,7 @@
 	if service := allocator.service(message.Service); service != nil {
 		if _, term := service.brokerVM(); term == message.Term && service.isBroker() {
 			service.broker.Release(broker.Result{
-				Ticket: message.Ticket, Outcome: message.Outcome, Elapsed: message.Elapsed, FreeSlot: message.FreeSlot, Slowness: message.Slowness, Notice: broker.Notice{BusyFor: message.BusyFor},
+				Ticket: message.Ticket, Outcome: message.Outcome, Elapsed: message.Elapsed, FreeSlot: message.FreeSlot, Slowness: message.Slowness, Warmup: message.Warmup, Notice: broker.Notice{BusyFor: message.BusyFor},
 			})
 		}
 	}
--- a/internal/allocator/lead.go
+++ b/internal/allocator/lead.go
@@ -181,11 +181,13 @@
 // starts the other work that is due for a service.
 func (allocator *Allocator) checkBrokers(ctx context.Context) {
 	allocator.beginPolling()
-	vms := len(allocator.Members.VMs())
+	names := allocator.Members.VMs()
 	for _, service := range allocator.allServices() {
 		if !service.isBroker() {
-			service.broker.SetLocalMode(allocator.VM, vms)
+			service.broker.SetLocalMode(allocator.VM, len(names))
 		}
+		service.broker.SetWarmupVMs(names)
+		allocator.logWarmup(service)
 		if service.beginLedgerFetch() {
 			allocator.tasks.Go(func() error {
 				service.fetchLedger(ctx)
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -66,6 +66,8 @@
 	StartedAt int64  `cbor:"10,keyasint,omitempty"`
 	// Slowness is that of the upstream's machine, see broker.Result.
 	Slowness float64 `cbor:"11,keyasint,omitempty"`
+	// Warmup is for how long the upstream stays cold, see broker.Result.
+	Warmup time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // reportMessage is a VM's periodic heartbeat to a broker.
--- /dev/null
+++ b/internal/allocator/metrics.go
@@ -0,0 +1,23 @@
+package allocator
+
+import "github.com/prometheus/client_golang/prometheus"
+
+var (
+	coldUpstreams = prometheus.NewDesc("cuminstream_cold_upstreams", "Upstreams that are warming up and get few requests, as this VM knows it.", []string{"service"}, nil)
+	warmupLimited = prometheus.NewDesc("cuminstream_warmup_limited_total", "Requests for keys of cold upstreams that this VM, deciding as broker or in local mode, made wait or refused because of the warm-up bound.", []string{"service"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (allocator *Allocator) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- coldUpstreams
+	descriptions <- warmupLimited
+}
+
+// Collect implements prometheus.Collector.
+func (allocator *Allocator) Collect(metrics chan<- prometheus.Metric) {
+	for _, service := range allocator.allServices() {
+		stats := service.broker.WarmupStats()
+		metrics <- prometheus.MustNewConstMetric(coldUpstreams, prometheus.GaugeValue, float64(len(stats.Cold)), service.name)
+		metrics <- prometheus.MustNewConstMetric(warmupLimited, prometheus.CounterValue, float64(stats.Limited), service.name)
+	}
+}
--- a/internal/allocator/service.go
+++ b/internal/allocator/service.go
@@ -21,7 +21,12 @@
 	broker    *broker.Broker
 
 	mutex sync.Mutex
-	claim storedClaim
+	// coldFor and coldRate are those of the configuration, see matcher.Service.
+	coldFor  time.Duration
+	coldRate float64
+	// coldLogged are the cold upstreams that were logged last.
+	coldLogged []string
+	claim      storedClaim
 	// claimSeenAt is when this VM learned of the current broker and term.
 	claimSeenAt time.Time
 	// ledger is the newest ledger known to this VM. ledgerFetchedAt is when the last fetch
@@ -65,7 +70,6 @@
 		created.broker.Owners = created
 	}
 	created.claim = allocator.claims[name]
-	created.setUpstreams(allocator.upstreams)
 	return created
 }
 
--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -34,6 +34,7 @@
 	result := broker.Result{Ticket: slot.Ticket, Outcome: exchange.classifyOutcome(ctx, response, err), Elapsed: exchange.Clock.Now().Sub(sent)}
 	if response != nil {
 		result.Notice = broker.Notice{Leaving: response.Metadata.Leaving, BusyFor: response.Metadata.BusyFor}
+		result.Warmup = response.Metadata.Warmup
 		exchange.Allocator.Observe(slot.Upstream, result.Notice)
 		exchange.Metrics.countNotice(exchange.service.Name, result.Notice)
 		if load := response.Metadata.Load; load != nil {
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -51,6 +51,11 @@
 	RetryWindow time.Duration
 	RetryRatio  float64
 	RetrySlack  int
+	// WarmupOverage and WarmupSlack bound the requests to a cold upstream: in any second it
+	// gets at most the rate of its service times the overage, plus the slack. There is no
+	// bound if the overage is 0.
+	WarmupOverage float64
+	WarmupSlack   float64
 }
 
 // Edge runs an entry VM. The exported fields must be set before Run.
@@ -222,7 +227,9 @@
 		Granter: edge.Granter, MaxStaleness: min(edge.ConfigPeriod, edge.DrainPeriod), StopTimeout: max(edge.GracePeriod-stopReserve-resignReserve, 0),
 	}
 	edge.allocator.Tune(edge.RetryWindow, edge.RetryRatio, edge.RetrySlack, edge.MaxGrantTTL, edge.DrainPeriod)
+	edge.allocator.SetWarmupTerms(edge.WarmupOverage, edge.WarmupSlack)
 	edge.allocator.Init(edge.linkServer)
+	edge.Registry.MustRegister(edge.allocator)
 	edge.registrar = &registrar.Registrar{Clock: edge.Clock, Log: edge.Log, Decode: edge.DecodeUpstream, OnChange: edge.allocator.SetUpstreams}
 	edge.allocator.Followers = []*storer.Follower{
 		edge.newFollower(edge.KindConfig, edge.handleConfigList, edge.handleConfigChanges, nil),
@@ -253,6 +260,7 @@
 // Tune applies changed settings to a running VM.
 func (edge *Edge) Tune(tunables Tunables) {
 	edge.allocator.Tune(tunables.RetryWindow, tunables.RetryRatio, tunables.RetrySlack, tunables.MaxGrantTTL, tunables.DrainPeriod)
+	edge.allocator.SetWarmupTerms(tunables.WarmupOverage, tunables.WarmupSlack)
 }
 
 // linkShutdownTimeout bounds the wait for calls from other VMs during shutdown.
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -37,6 +37,8 @@
 	BusyFor time.Duration
 	// InvalidRetryAfter is a Retry-After value that is no number of seconds.
 	InvalidRetryAfter string
+	// Warmup is for how long the upstream stays cold; 0 if it does not say so.
+	Warmup time.Duration
 	// Load is nil if the upstream does not report its load.
 	Load *Load
 }
@@ -45,7 +47,7 @@
 // unless the response names the request, and the upstream is the one that it is meant for.
 func (metadata Metadata) withoutUnprovenNotices(requestID string) Metadata {
 	if metadata.RequestID == "" || metadata.RequestID != requestID || metadata.Misdirected {
-		metadata.Leaving, metadata.BusyFor = false, 0
+		metadata.Leaving, metadata.BusyFor, metadata.Warmup = false, 0, 0
 	}
 	return metadata
 }
--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -91,7 +91,7 @@
 		if upstream == nil {
 			return 1
 		}
-		return upstream.offeredLoad.perSecond(now) / float64(upstream.Slots)
+		return upstream.offeredLoad.perSecond(now) / broker.capacityOf(upstream, now)
 	}
 	return broker.offeredLoad.perSecond(now) / max(broker.capacity(now), 1)
 }
@@ -109,10 +109,10 @@
 			continue
 		}
 		slots += upstream.slotLimit
-		free += max(upstream.freeSlots(), 0)
-		rate += float64(upstream.slotLimit) / upstream.expectedServiceTime()
+		free += broker.warmupFree(upstream, max(upstream.freeSlots(), 0), now)
+		rate += broker.requestRate(upstream, now)
 	}
-	if slots == 0 {
+	if slots == 0 || rate == 0 {
 		end, busy := broker.busyEnd(request, waiter.owner, now)
 		return end.Sub(now).Seconds(), broker.meanServiceTime(), busy
 	}
@@ -150,26 +150,21 @@
 		return 0, 0, false
 	}
 	ahead := broker.countAhead(upstream.ID, request.Rank)
+	limited, ok := broker.warmupWait(upstream, ahead, now)
+	if limited > 0 || !ok {
+		broker.warmup.limited++
+	}
+	if !ok {
+		return 0, 0, false
+	}
 	serviceTime = upstream.expectedServiceTime()
 	if end, busy := broker.busyEnd(request, ownership, now); busy {
-		return end.Sub(now).Seconds() + float64(ahead)*serviceTime/float64(upstream.slotLimit), serviceTime, true
+		return max(end.Sub(now).Seconds()+float64(ahead)*serviceTime/float64(upstream.slotLimit), limited.Seconds()), serviceTime, true
 	}
 	if free := upstream.freeSlots(); free > ahead {
-		return 0, serviceTime, true
-	}
-	return float64(ahead+1) * serviceTime / float64(upstream.slotLimit), serviceTime, true
-}
-
-// capacity returns the number of slots of the upstreams that accept requests. Each slot
-// does one second of service time per second.
-func (broker *Broker) capacity(now time.Time) float64 {
-	slots := 0
-	for _, upstream := range broker.upstreams {
-		if !upstream.Draining && !now.Before(upstream.pausedUntil) {
-			slots += upstream.Slots
-		}
+		return limited.Seconds(), serviceTime, true
 	}
-	return float64(slots)
+	return max(float64(ahead+1)*serviceTime/float64(upstream.slotLimit), limited.Seconds()), serviceTime, true
 }
 
 // jitter bounds d and returns a random time within 25% of it, so that refused callers
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -36,6 +36,7 @@
 	slowKeyRates  keyRateMeter
 	candidates    []*upstreamState // buffer of availableUpstreams, reused to save allocations
 	localMode     localMode
+	warmup        warmup
 }
 
 // ticket is the use of a slot by a request.
@@ -91,17 +92,23 @@
 	upstreams := make(map[string]*upstreamState, len(list))
 	for _, info := range list {
 		state := broker.upstreams[info.ID]
+		appeared := state == nil || state.StartedAt != info.StartedAt || (state.Draining && !info.Draining)
 		if state != nil && state.StartedAt != info.StartedAt {
 			broker.recordUpstreamLoss(state, now)
 		}
 		if state == nil || state.StartedAt != info.StartedAt || state.Address != info.Address {
+			former := state
 			state = newUpstreamState(info, broker.meanServiceTime())
+			if !appeared {
+				state.coldUntil, state.sent = former.coldUntil, former.sent
+			}
 		}
+		broker.markCold(state, info, appeared, now)
 		state.Upstream = info
 		state.slotLimit = broker.localMode.slotLimit(info)
 		upstreams[info.ID] = state
 	}
-	broker.upstreams = upstreams
+	broker.upstreams, broker.warmup.listed = upstreams, broker.warmup.listed || len(list) > 0
 	broker.dispatchAll(now)
 }
 
--- a/pkg/broker/dispatch.go
+++ b/pkg/broker/dispatch.go
@@ -25,6 +25,7 @@
 		return
 	}
 	broker.shedLate(queue, now)
+	broker.refuseLimited(queue, now)
 	for len(queue.waiting) > 0 {
 		waiter, chosen := broker.selectNext(queue, now)
 		if chosen == nil {
@@ -100,13 +101,13 @@
 	broker.candidates = broker.candidates[:0]
 	if queue.owner != noOwner {
 		owner := broker.upstreams[queue.owner]
-		if owner != nil && owner.assignable(len(queue.waiting)) > 0 && !now.Before(owner.pausedUntil) {
+		if owner != nil && owner.assignable(len(queue.waiting)) > 0 && !now.Before(owner.pausedUntil) && broker.warmupFree(owner, 1, now) > 0 {
 			broker.candidates = append(broker.candidates, owner)
 		}
 		return broker.candidates
 	}
 	for _, upstream := range broker.upstreams {
-		if !upstream.Draining && upstream.freeSlots() > 0 && !now.Before(upstream.pausedUntil) {
+		if !upstream.Draining && upstream.freeSlots() > 0 && !now.Before(upstream.pausedUntil) && broker.warmupFree(upstream, 1, now) > 0 {
 			broker.candidates = append(broker.candidates, upstream)
 		}
 	}
@@ -199,6 +200,7 @@
 	broker.lastTicket++
 	decision.Ticket = broker.lastTicket
 	upstream.assigned++
+	broker.recordSent(upstream, now)
 	broker.recordProbe(waiter.request.Zone, upstream, now)
 	broker.tickets[decision.Ticket] = &ticket{
 		upstream: upstream, vm: waiter.request.VM, zone: waiter.request.Zone, fingerprint: waiter.request.Fingerprint,
--- a/pkg/broker/local_mode.go
+++ b/pkg/broker/local_mode.go
@@ -50,6 +50,10 @@
 		return
 	}
 	broker.init()
+	if vms == 1 && broker.localMode.vms != 1 {
+		// An earlier broker may have assigned its share just before.
+		broker.warmup.blindUntil = broker.Clock.Now().Add(warmupWindow)
+	}
 	broker.localMode = localMode{vm, vms}
 	for _, upstream := range broker.upstreams {
 		upstream.slotLimit = broker.localMode.slotLimit(upstream.Upstream)
--- a/pkg/broker/types.go
+++ b/pkg/broker/types.go
@@ -12,8 +12,11 @@
 	Zone      string
 	Slots     int
 	Draining  bool
-	// Warmup is how much longer the upstream stays slow after its start.
+	// Warmup is for how long the upstream is cold, as its entry said when it was written.
 	Warmup time.Duration
+	// CheckIn numbers the entry that says so; 0 if Warmup is 0. With it, an upstream that
+	// states the same time again is known to have become cold again.
+	CheckIn int64
 }
 
 // NoKey is the key of requests to services without keys.
@@ -103,6 +106,8 @@
 	// Slowness is the service time of the upstream's machine at the end, as a multiple of
 	// the usual one; 0 if the upstream did not state it.
 	Slowness float64
+	// Warmup is for how long the upstream stays cold from then on; 0 if it did not say so.
+	Warmup time.Duration
 }
 
 // Ownership says which upstream serves a key.
--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -41,6 +41,8 @@
 	interruptions    int       // consecutive interrupted requests
 	consecutiveSheds int       // consecutive refusals without a free slot
 	interruptedRuns  []interruptedRun
+	coldUntil        time.Time
+	sent             sendTimes // while the service has a warm-up bound
 	pausedUntil      time.Time
 	connectFailures  map[string]int       // consecutive, by VM
 	unreachableUntil map[string]time.Time // by VM
@@ -89,6 +91,9 @@
 	if until := now.Add(result.BusyFor); until.After(upstream.busyUntil[vm]) && result.BusyFor > 0 {
 		upstream.busyUntil[vm] = until
 	}
+	if result.Warmup > 0 {
+		upstream.coldUntil = now.Add(result.Warmup)
+	}
 	switch result.Outcome {
 	case Served, Failed:
 		upstream.interruptions, upstream.consecutiveSheds = 0, 0
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -69,6 +69,10 @@
 	// Warmup is how long requests for a key are slow after a new owner got the key
 	// without a handover.
 	Warmup time.Duration
+	// ColdFor is how long an upstream is cold after it has started or returned, and
+	// ColdRate how many requests per second it then tolerates; 0 for no bound.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
 // Limits bound what a caller may send.
