Do not pause upstreams that refuse at random with free slots

Cause: an upstream that refused a request got none for 40 to 320 ms, also when all upstreams of the service refused half of their requests although they had free slots. The pauses took away capacity a second time, and the refused requests counted as offered load.

Change: an upstream is paused when its run of refusals is unlikely at the share that the other upstreams refuse, or when it may be full by the broker's count. A refused request is taken out of the offered load. A retry beyond the budget is refused before it waits, and its Retry-After is an eighth of the time left to the target, spread by half of it, instead of 100 ms, or 150 ms after the last attempt.

One upstream of ten that refuses everything gets one attempt for each pause, as before.

--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -174,7 +174,7 @@
 		case exchange.mayHaveRun:
 			return exchange.answerOutcomeUnknown(http.StatusBadGateway, "an earlier attempt may have run, the last was refused by the upstream")
 		}
-		retryAfter := refusedRetryAfter
+		retryAfter := exchange.refusedRetryAfter()
 		if exchange.key != broker.NoKey {
 			retryAfter = max(retryAfter, result.BusyFor) // no other upstream can serve the key
 		}
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -70,6 +71,9 @@
 	// MaxBufferedBytes is the total size of buffered request bodies above which
 	// further bodies are streamed.
 	MaxBufferedBytes int64
+	// Random returns a number in [0, 1), which spreads Retry-After times; rand.Float64 if
+	// nil.
+	Random func() float64
 
 	table         atomic.Pointer[matcher.Table]
 	bufferedBytes atomic.Int64
@@ -94,8 +98,6 @@
 	// maxUnsentAttempts is the number of attempts that may fail before any byte is
 	// sent.
 	maxUnsentAttempts = 4
-	// refusedRetryAfter is the Retry-After time when upstreams refused the request.
-	refusedRetryAfter = 150 * time.Millisecond
 	// noConfigRetryAfter is the Retry-After time while this VM has no configuration.
 	noConfigRetryAfter = 500 * time.Millisecond
 )
@@ -310,6 +312,16 @@
 	return answer
 }
 
+// refusedRetryAfter returns the Retry-After time after upstreams have refused the request.
+func (exchange *exchange) refusedRetryAfter() time.Duration {
+	random := exchange.Random
+	if random == nil {
+		random = rand.Float64
+	}
+	target := exchange.request.ReceivedAt.Add(exchange.route.TargetLatency).Sub(exchange.Clock.Now())
+	return broker.RefusedRetryAfter(target, random())
+}
+
 // answerOutcomeUnknown returns an answer for a request that may have run.
 func (exchange *exchange) answerOutcomeUnknown(status int, reason string) *fronter.Response {
 	return exchange.answerWith(status, reason)
--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -30,6 +30,9 @@
 	if request.Fingerprint != 0 && broker.crashSuspects.Losses(request.Fingerprint) >= maxLosses {
 		return refuse(CrashSuspect, crashSuspectRetryAfter)
 	}
+	if request.Retry && broker.RetryBudget != nil && broker.RetryBudget.Exhausted() {
+		return Decision{Refusal: RetryBudgetExhausted, RetryAfter: RefusedRetryAfter(request.Target, broker.Random()), QueueLength: waiter.queueLength}, true
+	}
 	wait, serviceTime, ok := broker.estimate(waiter, now)
 	if !ok {
 		return refuse(Unavailable, time.Second)
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -31,6 +31,7 @@
 	lastTicket    uint64
 	lastSweep     time.Time
 	offeredLoad   rateMeter // seconds of service time that arrive
+	refusals      refusalMeter
 	crashSuspects *suspecter.Table
 	fastKeyRates  keyRateMeter
 	slowKeyRates  keyRateMeter
@@ -95,7 +96,7 @@
 			broker.recordUpstreamLoss(state, now)
 		}
 		if state == nil || state.StartedAt != info.StartedAt || state.Address != info.Address {
-			state = newUpstreamState(info, broker.meanServiceTime())
+			state = newUpstreamState(info, broker.meanServiceTime(), &broker.refusals)
 		}
 		state.Upstream = info
 		state.slotLimit = broker.localMode.slotLimit(info)
@@ -184,6 +185,9 @@
 	now := broker.Clock.Now()
 	ticket.upstream.assigned--
 	ticket.upstream.recordResult(ticket.vm, result, now)
+	if result.Outcome == Shed {
+		broker.discountRefused(ticket.upstream, now)
+	}
 	broker.recordPathResult(ticket.zone, ticket.upstream, result.Outcome, now)
 	broker.trackCrashSuspects(ticket.upstream, ticket.fingerprint, result.Outcome, now)
 	broker.expireTickets(now)
--- a/pkg/broker/dispatch.go
+++ b/pkg/broker/dispatch.go
@@ -190,9 +190,7 @@
 func (broker *Broker) assign(waiter *Waiter, upstream *upstreamState, now time.Time) {
 	decision := Decision{Upstream: upstream.Upstream, Waited: now.Sub(waiter.arrivedAt), QueueLength: waiter.queueLength}
 	if waiter.request.Retry && broker.RetryBudget != nil && !broker.RetryBudget.AllowRetry() {
-		// RetryAfter is short because a new request of the caller does not count as a
-		// retry.
-		decision.Refusal, decision.RetryAfter = RetryBudgetExhausted, broker.jitter(minRetryAfter)
+		decision.Refusal, decision.RetryAfter = RetryBudgetExhausted, RefusedRetryAfter(waiter.request.Target-decision.Waited, broker.Random())
 		waiter.Decision <- decision
 		return
 	}
--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -13,8 +13,8 @@
 	serviceTimeWeight = 0.08
 	// failureWeight is the weight of the newest result in the failure rate.
 	failureWeight = 0.15
-	// shedPause is how long an upstream gets no request after it has refused one
-	// although the broker counted a free slot. It doubles with each further refusal,
+	// shedPause is how long an upstream gets no request after it has refused one,
+	// unless refusals of all upstreams explain it (recordRefusal). It doubles with each further refusal,
 	// up to maxShedPause.
 	shedPause    = 40 * time.Millisecond
 	maxShedPause = 320 * time.Millisecond
@@ -40,6 +40,8 @@
 	failureRate      float64   // moving average of the share of failed requests
 	interruptions    int       // consecutive interrupted requests
 	consecutiveSheds int       // consecutive refusals without a free slot
+	refusals         refusalMeter
+	serviceRefusals  *refusalMeter // of all upstreams
 	interruptedRuns  []interruptedRun
 	pausedUntil      time.Time
 	connectFailures  map[string]int       // consecutive, by VM
@@ -47,8 +49,8 @@
 	busyUntil        map[string]time.Time // by VM from which the upstream wants no request
 }
 
-func newUpstreamState(info Upstream, serviceTime float64) *upstreamState {
-	return &upstreamState{Upstream: info, slotLimit: info.Slots, serviceTime: serviceTime, foreign: map[string]int{}, unreachableUntil: map[string]time.Time{}, connectFailures: map[string]int{}, busyUntil: map[string]time.Time{}}
+func newUpstreamState(info Upstream, serviceTime float64, serviceRefusals *refusalMeter) *upstreamState {
+	return &upstreamState{Upstream: info, serviceRefusals: serviceRefusals, slotLimit: info.Slots, serviceTime: serviceTime, foreign: map[string]int{}, unreachableUntil: map[string]time.Time{}, connectFailures: map[string]int{}, busyUntil: map[string]time.Time{}}
 }
 
 // inUse returns the number of slots in use, as far as this broker knows.
@@ -91,18 +93,13 @@
 	}
 	switch result.Outcome {
 	case Served, Failed:
-		upstream.interruptions, upstream.consecutiveSheds = 0, 0
+		upstream.interruptions = 0
+		upstream.recordAcceptance(now)
 		delete(upstream.unreachableUntil, vm)
 		delete(upstream.connectFailures, vm)
 		upstream.recordSample(result)
 	case Shed, Misdirected:
-		upstream.interruptions = 0
-		if result.FreeSlot {
-			return // it refuses requests despite a free slot: a pause would not help
-		}
-		pause := min(shedPause<<min(upstream.consecutiveSheds, 8), maxShedPause)
-		upstream.consecutiveSheds++
-		upstream.pausedUntil = now.Add(pause)
+		upstream.recordRefusal(result, now)
 	case Unreachable:
 		upstream.connectFailures[vm]++
 		if upstream.connectFailures[vm] > 1 {
--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -37,17 +37,22 @@
 
 // AllowRetry reports whether the budget allows a retry now, and counts it if so.
 func (budget *Budget) AllowRetry() bool {
-	current := budget.advance()
+	if budget.Exhausted() {
+		return false
+	}
+	budget.advance().retries++
+	return true
+}
+
+// Exhausted reports whether the budget allows no retry now.
+func (budget *Budget) Exhausted() bool {
+	budget.advance()
 	requests, retries := 0, 0
 	for _, bucket := range budget.buckets {
 		requests += bucket.requests
 		retries += bucket.retries
 	}
-	if float64(retries+1) > budget.ratio*float64(requests)+budget.slack {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) > budget.ratio*float64(requests)+budget.slack
 }
 
 // advance clears the buckets that have left the window and returns the current one.
