Keep the statistics of an upstream unchanged by a time-out

Cause: recordResult took the time until a request was given up for a measured service time, and the time-out for a result without a failure. A full upstream that never responds looked slow by the time-outs of its callers, and an upstream that fails looked healthy after one. Change: the case TimedOut changes nothing.

--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -115,9 +115,9 @@
 			upstream.pausedUntil = now.Add(interruptionPause)
 			upstream.interruptions = interruptionLimit - 1 // one more interruption pauses it again
 		}
-	case TimedOut:
-		upstream.recordSample(result)
-	case Abandoned:
+	case TimedOut, Abandoned:
+		// The time until a request was given up is no service time. A full upstream that
+		// never responds serves the requests that it has accepted as fast as before.
 	}
 }
 
