Tell a reset before the request from one after it, and bound the wait for a response

Cause: a full upstream resets a new connection or never responds. Both gave the same error as a response that breaks off, so that a request that no upstream had taken counted as "may have run", and a request waited on an unresponsive connection until its deadline. Change: the bytes that the kernel accepts are counted. An error without any is a NotSentError with Connected. FirstByteTimeout bounds the time until the response begins; the connection is closed then, and the cause is ErrUnresponsive. A connection becomes idle only after its context can no longer close it. The errors and the round trip have files of their own. Result: before, every error after the dial was an IncompleteResponseError.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -4,12 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -81,6 +82,9 @@
 	// StreamContext, if set, takes the place of Send's context once the header of a response
 	// with Rest has been read.
 	StreamContext context.Context
+	// FirstByteTimeout, if above 0, bounds the time until the first byte of the response. It
+	// applies to buffered bodies only. The error has the cause ErrUnresponsive.
+	FirstByteTimeout time.Duration
 	// History, if set, makes an attempt to send the request again use another connection.
 	History *History
 	// CallerLeft, if set, is asked right before the request is written. If it reports
@@ -88,13 +92,6 @@
 	CallerLeft func() bool
 }
 
-// errNoRequestID is the cause of an incomplete response if a response on a reused
-// connection names no request: it may be a late second response to an earlier one.
-var errNoRequestID = errors.New("a response on a reused connection does not name its request")
-
-// errCallerLeft is the cause of a request that was not sent because its caller left.
-var errCallerLeft = errors.New("the caller has left")
-
 // Response is a response of an upstream. Body is complete if Rest is nil.
 type Response struct {
 	Status   int
@@ -109,25 +106,6 @@
 	ContentLength int64
 }
 
-// NotSentError means that no byte of the request has reached the upstream.
-type NotSentError struct{ Cause error }
-
-func (err *NotSentError) Error() string { return "the request was not sent: " + err.Cause.Error() }
-
-// Unwrap returns the cause.
-func (err *NotSentError) Unwrap() error { return err.Cause }
-
-// IncompleteResponseError means that the request may have reached the upstream, but
-// no complete response was received.
-type IncompleteResponseError struct{ Cause error }
-
-func (err *IncompleteResponseError) Error() string {
-	return "no complete response to a sent request: " + err.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (err *IncompleteResponseError) Unwrap() error { return err.Cause }
-
 const (
 	// dialTimeout bounds a connection attempt. Upstreams are milliseconds away, and
 	// the kernel retransmits a lost SYN only after a second: another attempt is
@@ -180,6 +158,15 @@
 	lastUsed    time.Time
 	idleTimeout time.Duration
 	reused      bool
+	// written counts the bytes that the kernel has accepted for the upstream.
+	written atomic.Int64
+}
+
+// Write writes to the upstream and counts the accepted bytes.
+func (conn *connection) Write(data []byte) (int, error) {
+	count, err := conn.Conn.Write(data)
+	conn.written.Add(int64(count))
+	return count, err
 }
 
 // Send sends the request and reads its response. The error is a *NotSentError or an
@@ -188,7 +175,8 @@
 func (sender *Sender) Send(ctx context.Context, upstream Upstream, request *Request) (*Response, error) {
 	conn, err := sender.acquire(ctx, upstream, request.History)
 	if err != nil {
-		return nil, &NotSentError{Cause: err}
+		// A refused connection gives ECONNREFUSED, one that was reset at once ECONNRESET.
+		return nil, &NotSentError{Cause: err, Connected: errors.Is(err, syscall.ECONNRESET)}
 	}
 	request.History.add(conn)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -202,13 +190,17 @@
 		_ = conn.Close()
 		return nil, &NotSentError{Cause: cause}
 	}
-	response, err := sender.roundTrip(conn, request)
+	response, reusable, err := sender.roundTrip(conn, request)
 	if err != nil {
 		stop()
 		_ = conn.Close()
 		if ctx.Err() != nil {
 			err = errors.Join(context.Cause(ctx), err)
 		}
+		var notSent *NotSentError
+		if errors.As(err, &notSent) {
+			return nil, &NotSentError{Cause: err, Connected: notSent.Connected}
+		}
 		return nil, &IncompleteResponseError{Cause: err}
 	}
 	if response.Rest != nil {
@@ -218,7 +210,10 @@
 		response.Rest = &streamedBody{ReadCloser: response.Rest, conn: conn, clock: sender.Clock, stop: stop}
 		return response, nil
 	}
-	if !stop() {
+	// A connection that ctx may close must not be idle: the next request would fail on it.
+	if stop() && reusable {
+		sender.keepIdle(conn)
+	} else {
 		_ = conn.Close()
 	}
 	return response, nil
@@ -320,87 +315,3 @@
 		}
 	}
 }
-
-// roundTrip writes the request and reads its response. On success it returns the
-// connection to the pool, or closes it if it cannot be reused. The connection of a
-// response with Rest stays open until Rest is closed.
-func (sender *Sender) roundTrip(conn *connection, request *Request) (*Response, error) {
-	written := make(chan error, 1)
-	if request.Stream == nil {
-		if err := writeBuffered(conn, request); err != nil {
-			return nil, err
-		}
-		written <- nil
-	} else {
-		// The upstream may respond before it has read the whole body.
-		sender.bodyWriters.Go(func() error {
-			written <- writeStream(conn, request)
-			return nil
-		})
-	}
-	response, closing, err := sender.readResponse(conn, request)
-	if err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	select {
-	case err := <-written:
-		closing = closing || err != nil
-	default:
-		// The rest of the request body will not be sent, so the connection cannot be
-		// reused.
-		closing = true
-	}
-	switch {
-	case response.Rest != nil:
-	case closing || conn.reader.Buffered() > 0:
-		_ = conn.Close()
-	default:
-		sender.keepIdle(conn)
-	}
-	return response, nil
-}
-
-// readResponse reads the response to the request. It skips interim (1xx) responses
-// and late responses to other requests. closing reports that the connection must not
-// be reused.
-func (sender *Sender) readResponse(conn *connection, request *Request) (response *Response, closing bool, err error) {
-	skipped := 0
-	conn.limited.Remaining = maxHeaderBytes
-	for {
-		message, err := http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
-		if err != nil {
-			return nil, true, fmt.Errorf("read the response: %w", err)
-		}
-		if message.StatusCode < http.StatusOK {
-			if message.StatusCode == http.StatusSwitchingProtocols {
-				return nil, true, errors.New("unexpected response 101 Switching Protocols")
-			}
-			continue
-		}
-		conn.limited.Remaining = limiter.Unlimited
-		metadata := sender.Protocol.ParseMetadata(message.StatusCode, message.Header)
-		body, err := io.ReadAll(io.LimitReader(message.Body, maxBufferedBody+1))
-		if err != nil {
-			return nil, true, fmt.Errorf("read the response body: %w", err)
-		}
-		if metadata.RequestID != "" && metadata.RequestID != request.ID {
-			if skipped++; skipped > maxSkipped || message.Close || len(body) > maxBufferedBody {
-				return nil, true, fmt.Errorf("received a response to another request, %q", metadata.RequestID)
-			}
-			conn.limited.Remaining = maxHeaderBytes
-			continue
-		}
-		if metadata.RequestID == "" && request.ID != "" && conn.reused {
-			return nil, true, errNoRequestID
-		}
-		conn.idleTimeout = parseIdleTimeout(message.Header)
-		response = &Response{
-			Status: message.StatusCode, Header: message.Header, Body: body, Metadata: metadata.withoutUnprovenNotices(request.ID), ContentLength: int64(len(body)),
-		}
-		if len(body) > maxBufferedBody {
-			response.Rest, response.ContentLength = message.Body, message.ContentLength
-		}
-		return response, message.Close || skipped > 0, nil
-	}
-}
--- a/internal/sender/write.go
+++ b/internal/sender/write.go
@@ -50,12 +50,9 @@
 // streamBufferSize is the size of the buffer through which a body is streamed.
 const streamBufferSize = 32 << 10
 
-// writeStream writes the request with a body that is read from its Stream. Closing
-// the connection is the only way to stop it early.
+// writeStream writes the body that is read from the request's Stream. Closing the
+// connection is the only way to stop it early.
 func writeStream(conn net.Conn, request *Request) error {
-	if _, err := conn.Write(requestHead(request, request.ContentLength).Bytes()); err != nil {
-		return err
-	}
 	buffer := make([]byte, streamBufferSize)
 	if request.ContentLength >= 0 {
 		_, err := io.CopyBuffer(struct{ io.Writer }{conn}, io.LimitReader(request.Stream, request.ContentLength), buffer)
