Keep all VMs in local mode within an upstream's slots and queue

Cause: without a broker each VM had at least one slot of each upstream, in sum 89 with 89 VMs where 20 fit. Change: the VMs know each other's names; as many as fit into the queue have one slot each, chosen by rendezvous hashing, and the others refuse requests for its keys. SetLocalMode takes the names instead of their number. The extra request beyond the slots is left to a broker for all VMs. Result: TestLocalModeStaysWithinTheQueue fails before the change, by the sum of one slot for each VM, and passes after it for 2 to 200 VMs; the tests of broker, allocator and edger pass with -race.

--- a/internal/allocator/lead.go
+++ b/internal/allocator/lead.go
@@ -181,7 +181,7 @@
 // starts the other work that is due for a service.
 func (allocator *Allocator) checkBrokers(ctx context.Context) {
 	allocator.beginPolling()
-	vms := len(allocator.Members.VMs())
+	vms := allocator.Members.VMs()
 	for _, service := range allocator.allServices() {
 		if !service.isBroker() {
 			service.broker.SetLocalMode(allocator.VM, vms)
@@ -372,7 +372,7 @@
 	allocator.mutex.Lock()
 	ctx, upstreams, tunables := allocator.ctx, allocator.upstreams, allocator.tunables
 	allocator.mutex.Unlock()
-	service.broker.SetLocalMode(allocator.VM, 1)
+	service.broker.SetLocalMode(allocator.VM, nil)
 	service.broker.SetRetryBudget(budgeter.New(allocator.Clock, tunables.retryWindow, tunables.retryRatio*brokerRetryShare, int(float64(tunables.retrySlack)*brokerRetryShare)))
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -144,7 +144,7 @@
 	request, ownership := waiter.request, waiter.owner
 	upstream := broker.upstreams[ownership.Upstream]
 	switch {
-	case upstream == nil, !ownership.Held && !ownership.Pending:
+	case upstream == nil, !ownership.Held && !ownership.Pending, upstream.slotLimit == 0:
 		return 0, 0, false
 	case now.Before(upstream.unreachableUntil[request.VM]), slices.Contains(request.Exclude, upstream.ID), broker.isPartitioned(request.Zone, upstream, now):
 		return 0, 0, false
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -98,7 +98,9 @@
 			state = newUpstreamState(info, broker.meanServiceTime())
 		}
 		state.Upstream = info
-		state.slotLimit = broker.localMode.slotLimit(info)
+		if state.limitedSlots != info.Slots { // a limit costs time, and lists change often
+			broker.localMode.limit(state)
+		}
 		upstreams[info.ID] = state
 	}
 	broker.upstreams = upstreams
--- a/pkg/broker/local_mode.go
+++ b/pkg/broker/local_mode.go
@@ -1,6 +1,8 @@
 package broker
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -10,22 +12,62 @@
 // requests to the same upstreams, which then reset connections, including those
 // for grants of keys.
 type localMode struct {
-	vm  string
-	vms int // number of VMs that assign slots locally; up to 1 when this broker serves all VMs
+	vm      string
+	members []string // VMs that assign slots locally; up to 1 when this broker serves all VMs
 }
 
-// localShareFactor is how many times its even share of an upstream's slots a VM
-// may use, because load is not spread evenly over VMs.
-const localShareFactor = 2
+const (
+	// localShareFactor is how many times its even share of an upstream's slots a VM
+	// may use, because load is not spread evenly over VMs.
+	localShareFactor = 2
+	// queueFactor times its slots is the length that an upstream's queue is assumed to
+	// have. The configuration does not state it; it is 16 for 4 slots where it is known.
+	queueFactor = 4
+)
+
+// localTotal returns how many requests all VMs together may have in progress at the
+// upstream in local mode. A former or a next broker may use all slots and one more, see
+// assignable, at the same time; what is left is the queue less one.
+func localTotal(upstream Upstream) int { return queueFactor*upstream.Slots - 1 }
 
-// slotLimit returns the number of the upstream's slots that may be assigned.
+// slotLimit returns the number of the upstream's slots that may be assigned. If there are
+// more VMs than requests that the upstream may get, that many VMs get one slot each, and
+// the others none: docs/design/full-upstreams.md gives the reasons.
 func (mode localMode) slotLimit(upstream Upstream) int {
-	if mode.vms <= 1 {
+	vms, total := len(mode.members), localTotal(upstream)
+	switch {
+	case vms <= 1:
 		return upstream.Slots
+	case vms <= total:
+		return min(max(localShareFactor*upstream.Slots/vms, 1), total/vms, upstream.Slots)
+	case mode.rank(upstream.ID) < total:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// limit applies the mode to the upstream. It computes a hash for each VM in local mode.
+func (mode localMode) limit(upstream *upstreamState) {
+	upstream.slotLimit, upstream.limitedSlots = mode.slotLimit(upstream.Upstream), upstream.Slots
+	upstream.local = len(mode.members) > 1
+}
+
+// rank returns the number of other members that come before this VM in the order of the
+// members for the upstream (rendezvous hashing). All VMs with the same list of members
+// have different ranks, and a change of one member changes the limit of one other at most.
+func (mode localMode) rank(upstream string) int {
+	own, rank := memberHash(mode.vm, upstream), 0
+	for _, member := range mode.members {
+		if hash := memberHash(member, upstream); hash > own || (hash == own && member < mode.vm) {
+			rank++
+		}
 	}
-	return min(max(localShareFactor*upstream.Slots/mode.vms, 1), upstream.Slots)
+	return rank
 }
 
+func memberHash(vm, upstream string) uint64 { return xxhash.Sum64String(vm + "\x00" + upstream) }
+
 // localCostSpread bounds the factors by which VMs in local mode multiply the cost
 // of an upstream, so that they prefer different upstreams. It is above the ratio of
 // the service times of slow and fast upstreams.
@@ -33,26 +75,25 @@
 
 // costFactor returns this VM's factor for the cost of an upstream.
 func (mode localMode) costFactor(upstream string) float64 {
-	if mode.vms <= 1 {
+	if len(mode.members) <= 1 {
 		return 1
 	}
-	hash := xxhash.Sum64String(mode.vm + "\x00" + upstream)
-	return 1 + (localCostSpread-1)*float64(hash>>11)/(1<<53)
+	return 1 + (localCostSpread-1)*float64(memberHash(mode.vm, upstream)>>11)/(1<<53)
 }
 
-// SetLocalMode sets how many VMs, including the given one, assign slots locally.
-// With vms above 1, this broker assigns slots for the given VM only; otherwise it
+// SetLocalMode sets the names of the VMs that assign slots locally, including the given
+// one. With more than one, this broker assigns slots for the given VM only; otherwise it
 // assigns them for all VMs.
-func (broker *Broker) SetLocalMode(vm string, vms int) {
+func (broker *Broker) SetLocalMode(vm string, members []string) {
 	broker.mutex.Lock()
 	defer broker.mutex.Unlock()
-	if broker.localMode == (localMode{vm, vms}) {
+	if broker.localMode.vm == vm && slices.Equal(broker.localMode.members, members) {
 		return
 	}
 	broker.init()
-	broker.localMode = localMode{vm, vms}
+	broker.localMode = localMode{vm, slices.Clone(members)}
 	for _, upstream := range broker.upstreams {
-		upstream.slotLimit = broker.localMode.slotLimit(upstream.Upstream)
+		broker.localMode.limit(upstream)
 	}
 	broker.dispatchAll(broker.Clock.Now())
 }
--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -33,9 +33,12 @@
 // upstreamState is an upstream and what the broker has measured of it.
 type upstreamState struct {
 	Upstream
-	slotLimit int            // slots that this broker may assign; may be below Slots in local mode
-	assigned  int            // slots that this broker has assigned
-	foreign   map[string]int // slots in use that other brokers assigned, by VM
+	slotLimit int // slots that this broker may assign; may be below Slots in local mode
+	// limitedSlots are the Slots from which slotLimit was computed; 0 before.
+	limitedSlots int
+	local        bool           // other VMs assign slots of the upstream too, in local mode
+	assigned     int            // slots that this broker has assigned
+	foreign      map[string]int // slots in use that other brokers assigned, by VM
 
 	offeredLoad      rateMeter // seconds of service time that arrive for its keys
 	serviceTime      float64   // moving average in seconds
@@ -71,7 +74,7 @@
 // would stay empty until the end of its request was reported to the broker and the
 // next request had arrived.
 func (upstream *upstreamState) assignable(waiting int) int {
-	if waiting > 1 && upstream.slotLimit == upstream.Slots {
+	if waiting > 1 && !upstream.local {
 		return upstream.freeSlots() + 1
 	}
 	return upstream.freeSlots()
