Bound request heads, connections and unread responses by the account of bytes

Cause: a head was parsed before anything was reserved, pipelined requests and responses were bounded by number only, connections by a constant, and a large response stayed on the upstream's connection as long as its caller read slowly.

Change: the fronter reads a whole head into its buffer, reserves what it costs when parsed, and rejects a line without a name before parsing. Requests in progress of a connection are bounded by cost. Large responses are read ahead of the caller within the account. The longest idle connection is closed when the last sixteenth of the connections is in use. The holder of a request is closed, and a response that nobody reads is closed too, on one path.

The account is not wired to the daemon yet.

--- a/internal/fronter/connection.go
+++ b/internal/fronter/connection.go
@@ -7,12 +7,12 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
-	"golang.org/x/net/http/httpguts"
-
+	"github.com/cuminstream/cuminstream/internal/accountant"
 	"github.com/cuminstream/cuminstream/internal/limiter"
 	"github.com/cuminstream/cuminstream/internal/peeker"
 )
@@ -40,9 +40,13 @@
 	reader  *bufio.Reader
 	ctx     context.Context
 	cancel  context.CancelFunc
+	address netip.Addr         // of the caller
+	holder  *accountant.Holder // of the connection itself
 
 	mutex         sync.Mutex
 	pending       []*exchange // in request order
+	pendingCost   int64       // of the heads of the pending requests
+	idleSince     time.Time   // when the last response was written, or the connection was opened
 	reading       bool        // a request's header has begun to arrive
 	writing       bool        // a goroutine is writing responses
 	closing       bool        // no further request is read
@@ -57,6 +61,9 @@
 	isHead     bool // the request method is HEAD
 	closeAfter bool // the caller asked to close the connection after this request
 	http10     bool // the request uses HTTP/1.0
+	holder     *accountant.Holder
+	headCost   int64
+	body       *requestBody
 }
 
 func newConnection(server *Server, accepted net.Conn) *connection {
@@ -64,6 +71,9 @@
 	conn := &connection{server: server, netConn: accepted, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}
 	conn.pendingShrunk = sync.NewCond(&conn.mutex)
 	conn.ctx, conn.cancel = context.WithCancel(context.Background())
+	conn.idleSince = server.Clock.Now()
+	conn.address = clientAddress(accepted)
+	conn.holder = server.Account.NewHolder(conn.address, func(accountant.Activity) { conn.abort() }, conn.queuedBytes)
 	return conn
 }
 
@@ -89,6 +99,7 @@
 
 // run reads requests until the connection closes, and waits for pending responses.
 func (conn *connection) run() {
+	defer conn.holder.Close()
 	defer conn.abort()
 	for conn.readRequest() {
 	}
@@ -142,6 +153,7 @@
 func (conn *connection) readRequest() bool {
 	limits := conn.server.Limits()
 	conn.limited.Remaining = limiter.Unlimited
+	conn.shrinkReader()
 	conn.mutex.Lock()
 	if len(conn.pending) == 0 && !conn.closing {
 		_ = conn.netConn.SetReadDeadline(conn.server.Clock.Now().Add(limits.IdleTimeout))
@@ -154,38 +166,20 @@
 	if !conn.limitHeader(limits) {
 		return false
 	}
-	message, err := http.ReadRequest(conn.reader)
+	exchange, err := conn.admitRequest(limits)
+	var message *http.Request
+	if err == nil {
+		message, err = http.ReadRequest(conn.reader)
+	}
 	if err == nil {
 		err = validateRequest(message)
 	}
 	if err != nil {
+		exchange.release()
 		conn.rejectRequest(err)
 		return false
 	}
-	return conn.dispatch(message, limits)
-}
-
-var (
-	errNoHost  = errors.New("the request has no host")
-	errField   = errors.New("a field name of the request's header is not a token")
-	errVersion = errors.New("the request's protocol is not HTTP/1.0 or HTTP/1.1")
-)
-
-// validateRequest makes the checks that http.ReadRequest leaves to its caller.
-func validateRequest(message *http.Request) error {
-	switch {
-	case message.ProtoMajor != 1:
-		return errVersion
-	case message.Host == "" && message.ProtoAtLeast(1, 1):
-		return errNoHost
-	}
-	for name := range message.Header {
-		// net/http keeps names such as "X ", with a space before the colon.
-		if !httpguts.ValidHeaderFieldName(name) {
-			return errField
-		}
-	}
-	return nil
+	return conn.dispatch(exchange, message, limits)
 }
 
 // limitHeader limits the size of the next header and the time to read it. It
@@ -220,8 +214,12 @@
 // has disconnected.
 func (conn *connection) rejectRequest(err error) {
 	var netErr net.Error
+	response := &Response{Status: http.StatusBadRequest, Close: true}
 	status := http.StatusBadRequest
 	switch {
+	case errors.Is(err, errAccountShort):
+		status = http.StatusServiceUnavailable
+		response.Header = http.Header{"Retry-After": {shortRetryAfter}}
 	case errors.Is(err, limiter.ErrExceeded):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
@@ -236,28 +234,29 @@
 		}
 	}
 	conn.server.Log.Info("failed to read request", "caller", conn.netConn.RemoteAddr().String(), "status", status, "error", err.Error())
-	exchange := &exchange{closeAfter: true}
+	exchange := &exchange{closeAfter: true, holder: conn.newHolder()}
 	conn.mutex.Lock()
 	conn.reading = false
 	conn.pending = append(conn.pending, exchange)
 	conn.mutex.Unlock()
-	conn.complete(exchange, &Response{Status: status, Close: true})
+	response.Status = status
+	conn.complete(exchange, response)
 }
 
 // dispatch serves a request in a goroutine of its own. It returns at once for a
 // request without a body, so that the next one can be read meanwhile; otherwise it
 // waits until the body is done. It returns false if no further request is to be
 // read.
-func (conn *connection) dispatch(message *http.Request, limits Limits) bool {
-	exchange := &exchange{isHead: message.Method == http.MethodHead, closeAfter: message.Close, http10: !message.ProtoAtLeast(1, 1)}
+func (conn *connection) dispatch(exchange *exchange, message *http.Request, limits Limits) bool {
+	exchange.isHead, exchange.closeAfter, exchange.http10 = message.Method == http.MethodHead, message.Close, !message.ProtoAtLeast(1, 1)
 	request := &Request{
 		Method: message.Method, Target: message.RequestURI, Host: message.Host, Header: message.Header,
-		ContentLength: message.ContentLength, ReceivedAt: conn.server.Clock.Now(), conn: conn,
+		ContentLength: message.ContentLength, ReceivedAt: conn.server.Clock.Now(), Holder: exchange.holder, conn: conn,
 	}
 	var body *requestBody
 	if message.Body != nil && message.Body != http.NoBody {
-		body = newRequestBody(conn, message, limits.BodyBytes)
-		request.Body = body
+		body = newRequestBody(conn, message, exchange.holder, limits.BodyBytes)
+		request.Body, exchange.body = body, body
 	} else {
 		request.ContentLength = 0
 	}
@@ -267,10 +266,12 @@
 	}
 	if conn.closing || conn.broken {
 		conn.mutex.Unlock()
+		exchange.release()
 		return false
 	}
 	conn.reading = false
 	conn.pending = append(conn.pending, exchange)
+	conn.pendingCost += exchange.headCost
 	conn.limited.Remaining = limiter.Unlimited
 	if body == nil {
 		_ = conn.netConn.SetReadDeadline(time.Time{})
@@ -284,6 +285,7 @@
 		if body != nil {
 			body.stop()
 		}
+		exchange.holder.Await(accountant.None)
 		conn.complete(exchange, response)
 		return nil
 	})
@@ -310,6 +312,14 @@
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	finished.response = response
+	if conn.broken {
+		conn.dropPending()
+		conn.pendingShrunk.Broadcast()
+	}
+	if !slices.Contains(conn.pending, finished) {
+		finished.release() // nobody reads the response
+		return
+	}
 	if conn.writing {
 		return // the goroutine that is writing also writes this response
 	}
@@ -327,8 +337,12 @@
 		conn.closing = conn.closing || (last && len(conn.pending) == 1)
 		conn.mutex.Unlock()
 		written := conn.writeResponse(exchange, last)
+		exchange.release()
 		conn.mutex.Lock()
-		conn.pending = conn.pending[1:]
+		if len(conn.pending) > 0 { // it is empty if the caller has left meanwhile
+			conn.pending = conn.pending[1:]
+			conn.pendingCost -= exchange.headCost
+		}
 		if !written {
 			conn.broken = true
 			conn.cancel()
@@ -340,9 +354,10 @@
 		}
 		if last || conn.broken {
 			conn.closing = true
-			conn.pending = nil
+			conn.dropPending()
 			_ = conn.netConn.SetReadDeadline(time.Unix(1, 0)) // unblocks the reader
 		} else if len(conn.pending) == 0 {
+			conn.idleSince = conn.server.Clock.Now()
 			_ = conn.netConn.SetReadDeadline(conn.server.Clock.Now().Add(conn.server.Limits().IdleTimeout))
 		}
 		conn.pendingShrunk.Broadcast()
@@ -371,25 +386,3 @@
 func forbidsBody(status int) bool {
 	return status == http.StatusNoContent || status == http.StatusNotModified || status < http.StatusOK
 }
-
-// hopByHopHeaders are the headers that apply to a single connection and must not be
-// forwarded.
-var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization"}
-
-// WithoutHopByHop returns a copy of the header without the hop-by-hop fields and
-// those that the Connection header names.
-func WithoutHopByHop(header http.Header) http.Header {
-	kept := make(http.Header, len(header)+2)
-	for name, values := range header {
-		kept[name] = values
-	}
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		delete(kept, name)
-	}
-	return kept
-}
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cuminstream/cuminstream/internal/accountant"
 	"github.com/cuminstream/cuminstream/internal/peeker"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
@@ -29,6 +30,9 @@
 	ContentLength int64
 	// ReceivedAt is the time at which the whole header had been read.
 	ReceivedAt time.Time
+	// Holder holds what the request and its response take in memory. It is closed when the
+	// response has been written. It may be nil.
+	Holder *accountant.Holder
 
 	conn *connection
 }
@@ -92,6 +96,10 @@
 	// StopTimeout bounds the wait for requests in flight, measured from the
 	// beginning of the shutdown.
 	StopTimeout time.Duration
+	// Account bounds what callers hold in memory. nil means no bound.
+	Account *accountant.Account
+	// MaxConnections bounds the open connections. 0 means accountant.MaxConnections.
+	MaxConnections int
 
 	stopping    atomic.Bool
 	mutex       sync.Mutex
@@ -102,9 +110,12 @@
 const (
 	// acceptRetryDelay is the delay after a failed Accept.
 	acceptRetryDelay = 50 * time.Millisecond
-	// maxConnections bounds the open connections. The VM's file descriptors must
-	// also suffice for the connections to upstreams.
-	maxConnections = 2500
+	// minIdle is the time for which a connection must be idle before it is closed to make
+	// room for another one.
+	minIdle = time.Second
+	// idleCloseDivisor is the part of the connections, the last sixteenth, in which each new
+	// one closes an idle one: closing takes up to lingerTimeout.
+	idleCloseDivisor = 16
 )
 
 // Run serves connections until ctx is cancelled, then shuts down gracefully: it
@@ -171,15 +182,9 @@
 // are open.
 func (server *Server) serveConnection(accepted net.Conn) {
 	conn := newConnection(server, accepted)
-	server.mutex.Lock()
-	full := len(server.connections) >= maxConnections
-	if !full {
-		server.connections[conn] = struct{}{}
-	}
-	server.mutex.Unlock()
-	if full {
-		server.Log.Warn("connection rejected: too many open connections", "open", maxConnections)
-		_ = accepted.Close()
+	if reason := server.admitConnection(conn); reason != "" {
+		conn.holder.Close()
+		conn.abort()
 		return
 	}
 	server.group.Go(func() error {
@@ -190,3 +195,45 @@
 		return nil
 	})
 }
+
+// admitConnection adds a connection to the open ones, and closes the one that has been idle
+// for longest if no other has room. It returns why there is no room.
+func (server *Server) admitConnection(conn *connection) (reason accountant.Reason) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	limit := server.MaxConnections
+	if limit == 0 {
+		limit = accountant.MaxConnections(0)
+	}
+	open := len(server.connections)
+	if open >= limit {
+		reason = accountant.ReasonDescriptors
+		server.Account.CountRefusal(reason)
+	} else {
+		reason = conn.holder.Reserve(accountant.Connections, connectionBytes)
+	}
+	if reason == "" {
+		server.connections[conn] = struct{}{}
+	}
+	if reason != "" || open >= limit-limit/idleCloseDivisor {
+		if idle := server.longestIdle(); idle != nil {
+			server.Account.CountEviction(accountant.ReasonIdle)
+			idle.closeAfterPending()
+		}
+	}
+	return reason
+}
+
+// longestIdle returns the connection that has had no request for longest, or nil. The mutex
+// is held.
+func (server *Server) longestIdle() (longest *connection) {
+	since := server.Clock.Now().Add(-minIdle)
+	for conn := range server.connections {
+		conn.mutex.Lock()
+		if len(conn.pending) == 0 && !conn.reading && !conn.closing && conn.idleSince.Before(since) {
+			longest, since = conn, conn.idleSince
+		}
+		conn.mutex.Unlock()
+	}
+	return longest
+}
--- a/internal/fronter/write.go
+++ b/internal/fronter/write.go
@@ -3,14 +3,20 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+
+	"github.com/cuminstream/cuminstream/internal/accountant"
 )
 
 // headerCapacity fits the header of most responses.
 const headerCapacity = 512
 
-// copyBufferSize is the buffer size for streaming a large body.
+// inlineBody is the largest body that is copied behind the header and written with it.
+const inlineBody = 4 << 10
+
+// copyBufferSize is the size of the blocks in which a large body is written.
 const copyBufferSize = 32 << 10
 
 // writeResponse writes one response and reports whether it was written completely.
@@ -18,16 +24,15 @@
 // otherwise take the truncated response for a complete one.
 func (conn *connection) writeResponse(exchange *exchange, last bool) bool {
 	response := exchange.response
-	if response.Rest != nil {
-		defer func() { _ = response.Rest.Close() }()
-	}
+	exchange.holder.Await(accountant.Writing)
 	length := int64(len(response.Body))
 	if response.Rest != nil {
 		length = response.ContentLength
 	}
 	chunked := length < 0 && !exchange.http10
+	inline := response.Rest == nil && len(response.Body) <= inlineBody
 	size := headerCapacity
-	if response.Rest == nil {
+	if inline {
 		size += len(response.Body)
 	}
 	buffer := bytes.NewBuffer(make([]byte, 0, size))
@@ -66,12 +71,32 @@
 		_, err := conn.netConn.Write(buffer.Bytes())
 		return err == nil
 	}
-	if response.Rest == nil {
+	if inline {
 		buffer.Write(response.Body)
 		_, err := conn.netConn.Write(buffer.Bytes())
 		return err == nil
 	}
-	return conn.writeRest(buffer, response, chunked)
+	if response.Rest == nil {
+		return conn.writeLarge(buffer.Bytes(), exchange)
+	}
+	return conn.writeRest(buffer, exchange, chunked)
+}
+
+// writeLarge writes the header and the buffered body without a copy, in pieces that show
+// that the caller reads.
+func (conn *connection) writeLarge(header []byte, exchange *exchange) bool {
+	body := exchange.response.Body
+	pieces := net.Buffers{header, nil}
+	for len(body) > 0 {
+		size := min(len(body), copyBufferSize)
+		pieces[len(pieces)-1] = body[:size]
+		if _, err := pieces.WriteTo(conn.netConn); err != nil {
+			return false
+		}
+		exchange.holder.Progress()
+		body, pieces = body[size:], net.Buffers{nil}
+	}
+	return true
 }
 
 func writeField(buffer *bytes.Buffer, name, value string) {
@@ -81,30 +106,35 @@
 	buffer.WriteString("\r\n")
 }
 
-// writeRest writes the buffered header and streams a body that is too large to
-// buffer.
-func (conn *connection) writeRest(header *bytes.Buffer, response *Response, chunked bool) bool {
+// writeRest writes the buffered header and a body that is too large to buffer. The body is
+// read off the upstream's connection while the caller reads what came before.
+func (conn *connection) writeRest(header *bytes.Buffer, exchange *exchange, chunked bool) bool {
+	response := exchange.response
+	spool := newSpool(exchange.holder, response.Rest)
+	conn.server.group.Go(func() error {
+		spool.fill()
+		return nil
+	})
+	defer spool.stop()
 	if _, err := conn.netConn.Write(header.Bytes()); err != nil {
 		return false
 	}
-	body := io.MultiReader(bytes.NewReader(response.Body), response.Rest)
-	block := make([]byte, copyBufferSize)
 	written := int64(0)
-	for {
-		n, err := body.Read(block)
-		if n > 0 {
-			_ = conn.netConn.SetWriteDeadline(conn.server.Clock.Now().Add(writeTimeout))
-			if !conn.writeBlock(block[:n], chunked) {
-				return false
-			}
-			written += int64(n)
+	for body := response.Body; len(body) > 0; body = body[min(len(body), copyBufferSize):] {
+		if !conn.writeBlock(exchange, body[:min(len(body), copyBufferSize)], chunked) {
+			return false
 		}
+	}
+	written += int64(len(response.Body))
+	for {
+		block, err := spool.next()
 		if err == io.EOF {
 			break
 		}
-		if err != nil {
+		if err != nil || !conn.writeBlock(exchange, block, chunked) {
 			return false
 		}
+		written += int64(len(block))
 	}
 	if chunked {
 		_, err := conn.netConn.Write([]byte("0\r\n\r\n"))
@@ -113,11 +143,14 @@
 	return response.ContentLength < 0 || written == response.ContentLength
 }
 
-func (conn *connection) writeBlock(block []byte, chunked bool) bool {
+// writeBlock writes one block of a body.
+func (conn *connection) writeBlock(exchange *exchange, block []byte, chunked bool) bool {
+	_ = conn.netConn.SetWriteDeadline(conn.server.Clock.Now().Add(writeTimeout))
+	pieces := net.Buffers{block}
 	if chunked {
-		framed := append(strconv.AppendInt(nil, int64(len(block)), 16), "\r\n"...)
-		block = append(append(framed, block...), "\r\n"...)
+		pieces = net.Buffers{append(strconv.AppendInt(nil, int64(len(block)), 16), "\r\n"...), block, []byte("\r\n")}
 	}
-	_, err := conn.netConn.Write(block)
+	_, err := pieces.WriteTo(conn.netConn)
+	exchange.holder.Progress()
 	return err == nil
 }
