Bound what callers may hold in cuminstream-edge by one account of bytes

Cause: courier checked a total before it read a body, so that many at once passed the check; a stalled upload held a slot; kernel buffers grew to several MB for each connection, and the number of connections did not depend on the machine's descriptors.

Change: bodies are reserved before each byte is read, and are answered 503 with Retry-After if there is no room or if they are evicted, before anything is sent. A streamed upload has 1 MiB buffered before it takes a slot, gives it back when less than 16 KiB arrive in a second, and its upstream connection is closed; the upstream is not blamed. What the largest recent response of the route took is reserved before a request is sent. Large bodies are sent without a copy. Buffers of callers' sockets, the Go runtime and the connections are bounded by self.limits.memory-mb and max-fds. The limits are in docs/edge-settings.md.

--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +30,10 @@
 	if slot.Refusal != "" {
 		return exchange.answerRefusal(ctx, slot)
 	}
+	if answer := exchange.reserveExpected(); answer != nil {
+		exchange.Allocator.Release(exchange.service.Name, slot, broker.Result{Ticket: slot.Ticket, Outcome: broker.Abandoned})
+		return answer
+	}
 	sent := exchange.Clock.Now()
 	response, err := exchange.send(ctx, slot.Upstream)
 	result := broker.Result{Ticket: slot.Ticket, Outcome: exchange.classifyOutcome(ctx, response, err), Elapsed: exchange.Clock.Now().Sub(sent)}
@@ -66,10 +71,11 @@
 type slotReleasingBody struct {
 	io.ReadCloser
 	release func()
+	once    sync.Once // it is closed by the reader of the body and at the end of the request
 }
 
 func (body *slotReleasingBody) Close() error {
-	body.release()
+	body.once.Do(body.release)
 	return body.ReadCloser.Close()
 }
 
@@ -119,6 +125,8 @@
 		return broker.Served
 	case errors.As(err, &notSent) && ctx.Err() == nil:
 		return broker.Unreachable
+	case exchange.uploadFailed():
+		return broker.Abandoned // not the upstream's fault
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return broker.TimedOut
 	case ctx.Err() != nil:
@@ -193,6 +201,9 @@
 	case broker.TimedOut:
 		return exchange.answerOutcomeUnknown(http.StatusGatewayTimeout, "the time limit passed during the run")
 	case broker.Abandoned:
+		if exchange.uploadFailed() {
+			return exchange.answerOutcomeUnknown(http.StatusBadGateway, "the caller did not send the rest of the body")
+		}
 		return exchange.answerOutcomeUnknown(http.StatusBadGateway, "the caller has left")
 	default:
 		if mayRetry && exchange.route.Idempotent {
@@ -211,6 +222,7 @@
 // answerWithResponse returns the upstream's response without its hop-by-hop headers
 // as the answer.
 func (exchange *exchange) answerWithResponse(response *sender.Response) *fronter.Response {
+	exchange.holdResponse(response.Body)
 	return &fronter.Response{
 		Status: response.Status, Header: fronter.WithoutHopByHop(response.Header),
 		Body: response.Body, Rest: response.Rest, ContentLength: response.ContentLength,
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -67,12 +65,9 @@
 	Sender    Sender
 	Log       *slog.Logger
 	Metrics   *Metrics
-	// MaxBufferedBytes is the total size of buffered request bodies above which
-	// further bodies are streamed.
-	MaxBufferedBytes int64
 
 	table         atomic.Pointer[matcher.Table]
-	bufferedBytes atomic.Int64
+	responseSizes responseSizes
 	mutex         sync.Mutex
 	splitters     map[string]*routeSplitter
 }
@@ -87,10 +82,6 @@
 const (
 	// defaultTimeout applies when neither the caller nor the route sets a timeout.
 	defaultTimeout = 10 * time.Second
-	// maxBufferedBody is the largest request body that is buffered and can be sent
-	// again. Uploads of usual size fit, so a slow caller holds no slot while it sends
-	// its body.
-	maxBufferedBody = 1 << 20
 	// maxUnsentAttempts is the number of attempts that may fail before any byte is
 	// sent.
 	maxUnsentAttempts = 4
@@ -204,7 +195,8 @@
 	key          int
 	deadline     time.Time // when the caller stops waiting
 	bufferedBody []byte
-	bodyRest     io.Reader // part of the body that is streamed, or nil
+	bodyRest     *streamedUpload // part of the body that is streamed, or nil
+	allowance    int64           // reserved for the response
 
 	history           sender.History // of the connections to upstreams
 	sentAttempts      int            // attempts that may have sent bytes to an upstream
@@ -247,10 +239,12 @@
 	exchange.deadline = exchange.request.ReceivedAt.Add(timeout)
 	ctx, cancel := clocker.WithTimeout(ctx, exchange.Clock, exchange.deadline.Sub(exchange.Clock.Now()))
 	defer cancel()
-	defer func() { exchange.bufferedBytes.Add(-int64(len(exchange.bufferedBody))) }()
 	if answer := exchange.bufferBody(); answer != nil {
 		return answer
 	}
+	if answer := exchange.reserveResponse(); answer != nil {
+		return answer
+	}
 	for {
 		if answer := exchange.attempt(ctx); answer != nil {
 			return answer
@@ -258,41 +252,6 @@
 	}
 }
 
-// bufferBody reads the body into memory if it is small enough and memory is left;
-// otherwise the body is streamed to the upstream. It returns an answer if the body
-// is too large or cannot be read.
-func (exchange *exchange) bufferBody() *fronter.Response {
-	request := exchange.request
-	if request.Body == nil {
-		return nil
-	}
-	limits := exchange.Limits()
-	if request.ContentLength > limits.BodyBytes {
-		return exchange.answerWith(http.StatusRequestEntityTooLarge, "the body exceeds the limit")
-	}
-	request.SetBodyDeadline(exchange.deadline)
-	if exchange.bufferedBytes.Load() > exchange.MaxBufferedBytes {
-		exchange.bodyRest = request.Body
-		return nil
-	}
-	maxBuffered := int64(maxBufferedBody)
-	if request.ContentLength > maxBufferedBody {
-		maxBuffered = 0
-	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxBuffered))
-	exchange.bufferedBytes.Add(int64(len(body)))
-	exchange.bufferedBody = body
-	switch {
-	case errors.Is(err, fronter.ErrBodyTooLarge):
-		return exchange.answerWith(http.StatusRequestEntityTooLarge, "the body exceeds the limit")
-	case err != nil:
-		return exchange.answerWith(http.StatusBadRequest, "the body could not be read: "+err.Error())
-	case int64(len(body)) == maxBuffered:
-		exchange.bodyRest = request.Body
-	}
-	return nil
-}
-
 // answerWith returns an answer that this VM generates, without a body. It closes
 // the caller's connection if the request has a body that was not read.
 func (exchange *exchange) answerWith(status int, reason string) *fronter.Response {
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -112,7 +112,7 @@
 func newForwarder(backend *fakeBackend) *courier.Forwarder {
 	forwarder := &courier.Forwarder{
 		VM: "vm", Zone: "a", Clock: clocker.System{}, Protocol: protocol{}, Allocator: backend, Sender: backend,
-		Log: slog.New(slog.DiscardHandler), Metrics: courier.NewMetrics(prometheus.NewRegistry()), MaxBufferedBytes: 1 << 20,
+		Log: slog.New(slog.DiscardHandler), Metrics: courier.NewMetrics(prometheus.NewRegistry()),
 	}
 	onlyService := func(service string) []matcher.WeightedService {
 		return []matcher.WeightedService{{Service: service, Weight: 1}}
--- a/internal/documenter/documenter.go
+++ b/internal/documenter/documenter.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 
+	"github.com/cuminstream/cuminstream/internal/accountant"
 	"github.com/cuminstream/cuminstream/internal/commander"
 	"github.com/cuminstream/cuminstream/internal/starter"
 	"github.com/cuminstream/cuminstream/pkg/answerer"
@@ -62,7 +63,7 @@
 	}
 	return "# Settings of cuminstream-edge\n\nMade by `make docs` from `cuminstream-edge --help`. All else comes from the settings file that the platform writes;\n" +
 		"`cuminstream-edge --check` prints all faults in it. A change of the file takes effect on SIGHUP or within 5 s, but for addresses, which need a restart.\n\n```\n" +
-		strings.TrimSpace(help) + "\n```\n\n" + platform.SettingsTable(), nil
+		strings.TrimSpace(help) + "\n```\n\n" + platform.SettingsTable() + "\n" + accountant.LimitsPage(), nil
 }
 
 func cliPage() string {
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cuminstream/cuminstream/internal/accountant"
 	"github.com/cuminstream/cuminstream/internal/allocator"
 	"github.com/cuminstream/cuminstream/internal/courier"
 	"github.com/cuminstream/cuminstream/internal/enroller"
@@ -75,6 +76,8 @@
 	CPUShare float64
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// MaxFDs is the number of descriptors that the process may open; 0 if it is not known.
+	MaxFDs int
 	Tunables
 
 	Clock    clocker.Clock
@@ -126,8 +129,6 @@
 	// missedHeartbeats is the number of intervals without a refresh after which the
 	// platform removes the entry of an upstream.
 	missedHeartbeats = 3
-	// bodyMemoryDivisor limits buffered request bodies to 1/5 of the memory.
-	bodyMemoryDivisor = 5
 )
 
 // Run serves until ctx is cancelled, and then shuts down gracefully.
@@ -136,7 +137,7 @@
 	edge.buildComponents(boot)
 	edge.resigned = make(chan struct{})
 	edge.Log.Info("starting", "zone", edge.Zone, "boot", boot, "callers", edge.CallerListen, "links", edge.LinkListen)
-	callerListener, err := net.Listen("tcp", edge.CallerListen)
+	callerListener, err := edge.listenForCallers(ctx)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -169,10 +170,14 @@
 	}
 	group.Go(func() error { return edge.registrar.Run(componentsCtx) })
 	group.Go(func() error { return edge.closeStaleConnections(componentsCtx) })
+	account := accountant.New(accountant.LimitsFor(edge.MemoryBytes), edge.Clock, edge.Log)
+	accountant.NewMetrics(edge.Registry, account)
 	server := &fronter.Server{
 		Listener: callerListener, Handler: edge.courier, Clock: edge.Clock, Log: edge.Log, Limits: edge.courier.Limits,
 		StopNotice: stopNotice, StopTimeout: max(edge.GracePeriod-stopReserve, stopNotice),
+		Account: account, MaxConnections: accountant.MaxConnections(edge.MaxFDs),
 	}
+	group.Go(func() error { return account.Run(componentsCtx) })
 	group.Go(func() error {
 		defer stopComponents()
 		err := server.Run(ctx)
@@ -246,7 +251,7 @@
 	edge.sender = &sender.Sender{Clock: edge.Clock, Protocol: edge.Protocol, Dial: edge.Dial}
 	edge.courier = &courier.Forwarder{
 		VM: edge.VM, Zone: edge.Zone, Clock: edge.Clock, Protocol: edge.Protocol, Allocator: edge.allocator, Sender: edge.sender,
-		Log: edge.Log, Metrics: courier.NewMetrics(edge.Registry), MaxBufferedBytes: max(edge.MemoryBytes/bodyMemoryDivisor, 16<<20),
+		Log: edge.Log, Metrics: courier.NewMetrics(edge.Registry),
 	}
 }
 
--- a/internal/fronter/head.go
+++ b/internal/fronter/head.go
@@ -48,8 +48,8 @@
 	// is copied for the upstream.
 	headLineCost = 320
 	// maxPipelinedCost bounds the heads of one connection's requests in progress by cost.
-	// Usual heads cost less than 16 KiB, so that maxPipelined requests fit.
-	maxPipelinedCost = 256 << 10
+	// Usual heads cost less than 24 KiB, so that maxPipelined requests fit.
+	maxPipelinedCost = 384 << 10
 )
 
 var (
--- a/internal/sender/write.go
+++ b/internal/sender/write.go
@@ -40,10 +40,21 @@
 	return buffer
 }
 
+// inlineBody is the largest body that is copied behind the head and written with it.
+const inlineBody = 4 << 10
+
 func writeBuffered(conn net.Conn, request *Request) error {
 	buffer := requestHead(request, int64(len(request.Body)))
-	buffer.Write(request.Body)
-	_, err := conn.Write(buffer.Bytes())
+	if len(request.Body) <= inlineBody {
+		buffer.Write(request.Body)
+		_, err := conn.Write(buffer.Bytes())
+		return err
+	}
+	// A large body is not copied. Only a net.TCPConn itself writes both with one call.
+	if wrapped, ok := conn.(*connection); ok {
+		conn = wrapped.Conn
+	}
+	_, err := (&net.Buffers{buffer.Bytes(), request.Body}).WriteTo(conn)
 	return err
 }
 
@@ -51,18 +62,25 @@
 const streamBufferSize = 32 << 10
 
 // writeStream writes the request with a body that is read from its Stream. Closing
-// the connection is the only way to stop it early.
-func writeStream(conn net.Conn, request *Request) error {
+// the connection is the only way to stop it early. It closes the connection if the Stream
+// fails, so that the upstream does not wait for the rest of the body.
+func writeStream(conn net.Conn, request *Request) (err error) {
+	stream := &failingReader{Reader: request.Stream}
+	defer func() {
+		if stream.failed {
+			_ = conn.Close()
+		}
+	}()
 	if _, err := conn.Write(requestHead(request, request.ContentLength).Bytes()); err != nil {
 		return err
 	}
 	buffer := make([]byte, streamBufferSize)
 	if request.ContentLength >= 0 {
-		_, err := io.CopyBuffer(struct{ io.Writer }{conn}, io.LimitReader(request.Stream, request.ContentLength), buffer)
+		_, err := io.CopyBuffer(struct{ io.Writer }{conn}, io.LimitReader(stream, request.ContentLength), buffer)
 		return err
 	}
 	for {
-		n, err := request.Stream.Read(buffer)
+		n, err := stream.Read(buffer)
 		if n > 0 {
 			chunk := append(strconv.AppendInt(nil, int64(n), 16), "\r\n"...)
 			chunk = append(append(chunk, buffer[:n]...), "\r\n"...)
@@ -81,6 +99,18 @@
 	}
 }
 
+// failingReader records whether its Reader has failed before its end.
+type failingReader struct {
+	io.Reader
+	failed bool
+}
+
+func (reader *failingReader) Read(data []byte) (int, error) {
+	n, err := reader.Reader.Read(data)
+	reader.failed = reader.failed || (err != nil && err != io.EOF)
+	return n, err
+}
+
 // parseIdleTimeout returns how long a connection may be idle after a response with
 // this header.
 func parseIdleTimeout(header http.Header) time.Duration {
--- a/internal/standin/flooder/flooder_test.go
+++ b/internal/standin/flooder/flooder_test.go
@@ -1,7 +1,10 @@
 package flooder_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -87,3 +90,31 @@
 func TestConnectionsWithinDescriptors(t *testing.T) {
 	flood(t, flooder.Options{MaxFDs: 500, Work: 50 * time.Millisecond, Slots: 4}, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, Player: flooder.Silent()})
 }
+
+// Guards against limits that a caller inside the limits of the configuration meets when it is
+// alone: a head of many lines, and the largest body, whose rest is streamed.
+func TestSingleRequestsWithinTheLimits(t *testing.T) {
+	edge, err := flooder.StartEdge(t.Context(), flooder.Options{
+		Folder: t.TempDir(), MemoryMB: memoryMB, MaxFDs: maxFDs, RouteTimeout: 20 * time.Second, Work: time.Millisecond, Slots: 4,
+	})
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, edge.Stop()) }()
+	for name, request := range map[string]struct {
+		head string
+		body int
+	}{
+		"lines of one name":   {head: string(flooder.HeadOfLines(headBytes, func(int) string { return "a:" }))},
+		"lines of many names": {head: string(flooder.HeadOfLines(headBytes, func(number int) string { return fmt.Sprintf("%x:", number) }))},
+		"largest body":        {head: fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", flooder.Path, flooder.Host, 64<<20), body: 64 << 20},
+	} {
+		conn, err := net.Dial("tcp", edge.Address)
+		assert.NilError(t, err)
+		_, err = conn.Write(append([]byte(request.head), make([]byte, request.body)...))
+		assert.Check(t, err, name)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if assert.Check(t, err, name) {
+			assert.Check(t, response.StatusCode == http.StatusOK, "%s: %s", name, response.Status)
+		}
+		assert.NilError(t, conn.Close())
+	}
+}
