Send nothing to the upstreams of evacuated zones

Operators ask with an object evacuations/ZONE that nothing more be sent to the upstreams of a zone. Such objects were not read.

One more follower, relayed between VMs as the others are, reads them if the settings have evacuation-s. Upstreams in an evacuated zone get no request from the moment at which the broker or the requesting VM knows it; a slot that a broker without the news has assigned is released unused. Their keys move as those of draining upstreams do. Upstreams whose zone returns count as cold for warmup-s.

--- a/internal/allocator/acquire.go
+++ b/internal/allocator/acquire.go
@@ -26,7 +26,7 @@
 			return slot
 		}
 		allocator.Log.Info("slot released unused", "id", request.ID, "service", name, "upstream", slot.Upstream.ID, "broker", slot.Broker,
-			"drained", result.BusyFor == 0, "busyForMs", result.BusyFor.Milliseconds())
+			"drained", result.Outcome == broker.Unreachable, "busyForMs", result.BusyFor.Milliseconds())
 		allocator.Release(name, slot, result)
 		now := allocator.Clock.Now()
 		request.Timeout, request.Target, began = request.Timeout-now.Sub(began), request.Target-now.Sub(began), now
@@ -34,16 +34,22 @@
 			return courier.Slot{Broker: slot.Broker, Term: slot.Term, Decision: broker.Decision{Refusal: broker.Unavailable, RetryAfter: retryAfter}}
 		}
 		request.Exclude = append(slices.Clip(request.Exclude), slot.Upstream.ID)
+		if allocator.isEvacuated(slot.Upstream) {
+			request.Exclude = allocator.withoutEvacuated(request.Exclude, name)
+		}
 	}
 }
 
 // checkSlot returns a retryAfter above 0 if the slot must not be used, because its upstream
-// has drained or is busy and the broker does not know that yet. The result tells the broker.
+// has drained, is busy or is in an evacuated zone, and the broker does not know that yet. The result tells the broker.
 func (allocator *Allocator) checkSlot(slot courier.Slot) (result broker.Result, retryAfter time.Duration) {
 	if allocator.drainElapsed(slot.Upstream) {
 		_, leaving := allocator.notices.LeavingSince(slot.Upstream)
 		return broker.Result{Ticket: slot.Ticket, Outcome: broker.Unreachable, Notice: broker.Notice{Leaving: leaving}}, drainedRetryAfter
 	}
+	if allocator.isEvacuated(slot.Upstream) {
+		return broker.Result{Ticket: slot.Ticket, Outcome: broker.Abandoned}, evacuatedRetryAfter
+	}
 	busyFor := allocator.notices.BusyFor(slot.Upstream)
 	return broker.Result{Ticket: slot.Ticket, Outcome: broker.Abandoned, Notice: broker.Notice{BusyFor: busyFor}}, busyFor
 }
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -67,19 +67,21 @@
 	// mutex.
 	updateMutex sync.Mutex
 
-	mutex         sync.Mutex
-	tunables      tunables
-	warmupTerms   warmupTerms
-	drainingSince map[incarnation]time.Time // since when upstreams are draining or removed
-	storeKnownAt  time.Time                 // when a broker that reaches the store last answered a report
-	services      map[string]*service
-	claims        map[string]storedClaim
-	claimsSince   time.Time         // when this VM learned of the first claim; zero before
-	registered    []broker.Upstream // as listed in the store
-	upstreams     []broker.Upstream // those of registered whose service a configuration has defined
-	polling       bool              // what ShouldPoll reported last
-	peers         map[string]*peer
-	stopping      bool
+	mutex       sync.Mutex
+	tunables    tunables
+	warmupTerms warmupTerms
+	// evacuatedZones are the zones to whose upstreams nothing is sent.
+	evacuatedZones map[string]bool
+	drainingSince  map[incarnation]time.Time // since when upstreams are draining or removed
+	storeKnownAt   time.Time                 // when a broker that reaches the store last answered a report
+	services       map[string]*service
+	claims         map[string]storedClaim
+	claimsSince    time.Time         // when this VM learned of the first claim; zero before
+	registered     []broker.Upstream // as listed in the store
+	upstreams      []broker.Upstream // those of registered whose service a configuration has defined
+	polling        bool              // what ShouldPoll reported last
+	peers          map[string]*peer
+	stopping       bool
 	// claimReadsFailingSince is when reads of this VM's own claims began to fail; zero
 	// while they succeed.
 	claimReadsFailingSince time.Time
--- a/internal/allocator/upstreams.go
+++ b/internal/allocator/upstreams.go
@@ -34,7 +34,8 @@
 }
 
 // ofKnownServices returns the upstreams whose service a configuration has defined. Those
-// that have said that they are leaving count as draining. The mutex must be held.
+// that have said that they are leaving count as draining, and those in evacuated zones are
+// marked. The mutex must be held.
 func (allocator *Allocator) ofKnownServices(registered []broker.Upstream) []broker.Upstream {
 	upstreams := make([]broker.Upstream, 0, len(registered))
 	for _, upstream := range registered {
@@ -42,6 +43,7 @@
 			if _, leaving := allocator.notices.LeavingSince(upstream); leaving {
 				upstream.Draining = true
 			}
+			upstream.Evacuated = allocator.evacuatedZones[upstream.Zone]
 			upstreams = append(upstreams, upstream)
 		}
 	}
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -98,6 +98,12 @@
 	// themselves. DecodeUpstream decodes such an entry.
 	KindUpstreams  string
 	DecodeUpstream func(object storer.Object) (registrar.Entry, error)
+	// KindEvacuations is the object kind of evacuations, whose objects are named after the
+	// zones that are being evacuated.
+	KindEvacuations string
+	// EvacuationPeriod is the time in which an evacuation must be in force; 0 if this
+	// platform has no evacuations.
+	EvacuationPeriod time.Duration
 	// KindConfig and NameConfig identify the object that holds the configuration.
 	// DecodeConfig decodes its spec.
 	KindConfig   string
@@ -224,7 +230,7 @@
 	edge.linkPool = &linker.Pool{VM: edge.VM, Directory: edge.enroller, LocalServer: edge.linkServer, Clock: edge.Clock, Metrics: metrics}
 	edge.allocator = &allocator.Allocator{
 		VM: edge.VM, Zone: edge.Zone, BootID: boot, Clock: edge.Clock, Log: edge.Log, Store: edge.Store, Peers: edge.linkPool, Members: edge.enroller,
-		Granter: edge.Granter, MaxStaleness: min(edge.ConfigPeriod, edge.DrainPeriod), StopTimeout: max(edge.GracePeriod-stopReserve-resignReserve, 0),
+		Granter: edge.Granter, MaxStaleness: edge.maxStaleness(), StopTimeout: max(edge.GracePeriod-stopReserve-resignReserve, 0),
 	}
 	edge.allocator.Tune(edge.RetryWindow, edge.RetryRatio, edge.RetrySlack, edge.MaxGrantTTL, edge.DrainPeriod)
 	edge.allocator.SetWarmupTerms(edge.WarmupOverage, edge.WarmupSlack)
@@ -236,6 +242,10 @@
 		edge.newFollower(edge.KindUpstreams, edge.registrar.HandleList, edge.registrar.HandleChanges, edge.registrar.HandleResponse),
 		edge.enroller.NewFollower(), edge.allocator.NewClaimFollower(),
 	}
+	if edge.EvacuationPeriod > 0 {
+		evacuations := &evacuations{onChange: edge.allocator.SetEvacuations}
+		edge.allocator.Followers = append(edge.allocator.Followers, edge.newFollower(edge.KindEvacuations, evacuations.handleList, evacuations.handleChanges, nil))
+	}
 	if edge.FirstStart {
 		edge.setFirstListTime()
 		edge.allocator.AwaitsFirstReports = edge.awaitsFirstReports
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -379,7 +379,7 @@
 	var members []partitioner.Member
 	for _, upstream := range stats {
 		known, ok := keeper.upstreams[upstream.Upstream.ID]
-		if !ok || known.Draining || known.StartedAt != upstream.Upstream.StartedAt {
+		if !ok || known.Draining || known.Evacuated || known.StartedAt != upstream.Upstream.StartedAt {
 			continue
 		}
 		capacity := float64(known.Slots) / max(upstream.ServiceTime.Seconds(), 0.001)
--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -149,6 +149,9 @@
 	case now.Before(upstream.unreachableUntil[request.VM]), slices.Contains(request.Exclude, upstream.ID), broker.isPartitioned(request.Zone, upstream, now):
 		return 0, 0, false
 	}
+	if upstream.Evacuated {
+		return broker.estimateEvacuated(upstream, now)
+	}
 	ahead := broker.countAhead(upstream.ID, request.Rank)
 	limited, ok := broker.warmupWait(upstream, ahead, now)
 	if limited > 0 || !ok {
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -92,7 +92,7 @@
 	upstreams := make(map[string]*upstreamState, len(list))
 	for _, info := range list {
 		state := broker.upstreams[info.ID]
-		appeared := state == nil || state.StartedAt != info.StartedAt || (state.Draining && !info.Draining)
+		appeared := state == nil || state.StartedAt != info.StartedAt || (state.Draining && !info.Draining) || (state.Evacuated && !info.Evacuated)
 		if state != nil && state.StartedAt != info.StartedAt {
 			broker.recordUpstreamLoss(state, now)
 		}
@@ -100,10 +100,15 @@
 			former := state
 			state = newUpstreamState(info, broker.meanServiceTime())
 			if !appeared {
-				state.coldUntil, state.sent = former.coldUntil, former.sent
+				state.coldUntil, state.sent, state.evacuatedAt = former.coldUntil, former.sent, former.evacuatedAt
 			}
 		}
 		broker.markCold(state, info, appeared, now)
+		if info.Evacuated && state.evacuatedAt.IsZero() {
+			state.evacuatedAt = now
+		} else if !info.Evacuated {
+			state.evacuatedAt = time.Time{}
+		}
 		state.Upstream = info
 		state.slotLimit = broker.localMode.slotLimit(info)
 		upstreams[info.ID] = state
--- a/pkg/broker/busy.go
+++ b/pkg/broker/busy.go
@@ -17,7 +17,7 @@
 		return end, now.Before(end)
 	}
 	for _, upstream := range broker.upstreams {
-		if upstream.Draining || slices.Contains(request.Exclude, upstream.ID) || broker.isPartitioned(request.Zone, upstream, now) {
+		if upstream.Draining || upstream.Evacuated || slices.Contains(request.Exclude, upstream.ID) || broker.isPartitioned(request.Zone, upstream, now) {
 			continue
 		}
 		until := upstream.busyUntil[request.VM]
--- a/pkg/broker/capacity.go
+++ b/pkg/broker/capacity.go
@@ -7,7 +7,7 @@
 func (broker *Broker) capacity(now time.Time) float64 {
 	total := 0.0
 	for _, upstream := range broker.upstreams {
-		if !upstream.Draining && !now.Before(upstream.pausedUntil) {
+		if !upstream.Draining && !upstream.Evacuated && !now.Before(upstream.pausedUntil) {
 			total += broker.capacityOf(upstream, now)
 		}
 	}
--- a/pkg/broker/dispatch.go
+++ b/pkg/broker/dispatch.go
@@ -25,6 +25,7 @@
 		return
 	}
 	broker.shedLate(queue, now)
+	broker.refuseEvacuated(queue, now)
 	broker.refuseLimited(queue, now)
 	for len(queue.waiting) > 0 {
 		waiter, chosen := broker.selectNext(queue, now)
@@ -101,13 +102,13 @@
 	broker.candidates = broker.candidates[:0]
 	if queue.owner != noOwner {
 		owner := broker.upstreams[queue.owner]
-		if owner != nil && owner.assignable(len(queue.waiting)) > 0 && !now.Before(owner.pausedUntil) && broker.warmupFree(owner, 1, now) > 0 {
+		if owner != nil && !owner.Evacuated && owner.assignable(len(queue.waiting)) > 0 && !now.Before(owner.pausedUntil) && broker.warmupFree(owner, 1, now) > 0 {
 			broker.candidates = append(broker.candidates, owner)
 		}
 		return broker.candidates
 	}
 	for _, upstream := range broker.upstreams {
-		if !upstream.Draining && upstream.freeSlots() > 0 && !now.Before(upstream.pausedUntil) && broker.warmupFree(upstream, 1, now) > 0 {
+		if !upstream.Draining && !upstream.Evacuated && upstream.freeSlots() > 0 && !now.Before(upstream.pausedUntil) && broker.warmupFree(upstream, 1, now) > 0 {
 			broker.candidates = append(broker.candidates, upstream)
 		}
 	}
--- a/pkg/broker/types.go
+++ b/pkg/broker/types.go
@@ -12,6 +12,9 @@
 	Zone      string
 	Slots     int
 	Draining  bool
+	// Evacuated is whether nothing may be sent to the upstream, because its zone is being
+	// evacuated.
+	Evacuated bool
 	// Warmup is for how long the upstream is cold, as its entry said when it was written.
 	Warmup time.Duration
 	// CheckIn numbers the entry that says so; 0 if Warmup is 0. With it, an upstream that
--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -41,6 +41,7 @@
 	interruptions    int       // consecutive interrupted requests
 	consecutiveSheds int       // consecutive refusals without a free slot
 	interruptedRuns  []interruptedRun
+	evacuatedAt      time.Time // when it became Evacuated
 	coldUntil        time.Time
 	sent             sendTimes // while the service has a warm-up bound
 	pausedUntil      time.Time
@@ -76,10 +77,10 @@
 	return upstream.freeSlots()
 }
 
-// usable reports whether the upstream is neither paused nor unreachable from the VM, and
-// takes its requests.
+// usable reports whether the upstream is neither evacuated, paused nor unreachable from the
+// VM, and takes its requests.
 func (upstream *upstreamState) usable(vm string, now time.Time) bool {
-	return !now.Before(upstream.pausedUntil) && !now.Before(upstream.unreachableUntil[vm]) && !now.Before(upstream.busyUntil[vm])
+	return !upstream.Evacuated && !now.Before(upstream.pausedUntil) && !now.Before(upstream.unreachableUntil[vm]) && !now.Before(upstream.busyUntil[vm])
 }
 
 // expectedServiceTime returns the expected service time in seconds.
