Measure the speed of upstreams apart from noise and cold times

The service time of an upstream was one moving average. It rose while the machine was slow for some hundred milliseconds or the upstream was cold, stayed high after that, and moved keys; while it was rising, requests still went to the slow machine.

The normal service time is now measured without the slowness that responses state and without that of cold upstreams, which is measured too (at first a factor of 2). The expected service time of a request is the normal one times the slowness that was stated last, which loses its weight within 400 ms. Keys are assigned by a steady mean that is reported only when it has changed by a fifth; a cold upstream counts with its measured slowness and the warm-up bound instead of a fixed factor of 0.5.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -150,8 +150,6 @@
 	// and of a longer time.
 	shortTermTolerance = 1.25
 	longTermTolerance  = 1.1
-	// warmupCapacityFactor lowers the capacity of an upstream that has just started.
-	warmupCapacityFactor = 0.5
 )
 
 // Init prepares the keeper. It is called before any other method.
@@ -382,16 +380,12 @@
 		if !ok || known.Draining || known.Evacuated || known.StartedAt != upstream.Upstream.StartedAt {
 			continue
 		}
-		capacity := float64(known.Slots) / max(upstream.ServiceTime.Seconds(), 0.001)
-		if known.Warmup > 0 {
-			capacity *= warmupCapacityFactor
-		}
 		incarnation := ownerOf(known).incarnation()
 		if upstream.Measured {
 			keeper.serviceTimes[incarnation] = upstream.ServiceTime
 		}
 		if !unreachable[incarnation] {
-			members = append(members, partitioner.Member{ID: incarnation, Capacity: capacity})
+			members = append(members, partitioner.Member{ID: incarnation, Capacity: upstream.Capacity})
 		}
 	}
 	slices.SortFunc(members, func(a, b partitioner.Member) int { return compareByHash(a.ID, b.ID) })
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -37,6 +37,7 @@
 	candidates    []*upstreamState // buffer of availableUpstreams, reused to save allocations
 	localMode     localMode
 	warmup        warmup
+	model         speedModel
 }
 
 // ticket is the use of a slot by a request.
@@ -74,6 +75,7 @@
 		broker.tickets = map[uint64]*ticket{}
 		broker.paths = map[zonePair]pathState{}
 		broker.queues = map[string]*queue{}
+		broker.model = speedModel{clock: broker.Clock, slowness: 1, coldSlowness: initialColdSlowness}
 		broker.crashSuspects = suspecter.New(broker.Clock, crashSuspectWindow)
 		broker.fastKeyRates.halfLife, broker.slowKeyRates.halfLife = fastHalfLife, slowHalfLife
 		if broker.Random == nil {
@@ -98,7 +100,7 @@
 		}
 		if state == nil || state.StartedAt != info.StartedAt || state.Address != info.Address {
 			former := state
-			state = newUpstreamState(info, broker.meanServiceTime())
+			state = newUpstreamState(info, &broker.model, broker.meanServiceTime(), broker.meanNormalTime())
 			if !appeared {
 				state.coldUntil, state.sent, state.evacuatedAt = former.coldUntil, former.sent, former.evacuatedAt
 			}
--- a/pkg/broker/meter.go
+++ b/pkg/broker/meter.go
@@ -104,8 +104,11 @@
 // UpstreamStats is the measured speed of an upstream.
 type UpstreamStats struct {
 	Upstream Upstream
-	// ServiceTime is the mean service time of one request.
+	// ServiceTime is the mean service time of one request while the upstream is warm and
+	// its machine is not slow. It changes only by as much as its measurement is certain.
 	ServiceTime time.Duration
+	// Capacity is how many requests per second the upstream can serve now.
+	Capacity float64
 	// Measured is whether ServiceTime comes from requests to this upstream, or from
 	// an earlier broker, rather than from a default.
 	Measured bool
@@ -120,6 +123,7 @@
 	broker.init()
 	if upstream := broker.upstreams[id]; upstream != nil && upstream.StartedAt == startedAt && upstream.samples < expectedSamples {
 		upstream.serviceTime, upstream.samples = serviceTime.Seconds(), expectedSamples
+		upstream.speed = newSpeed(serviceTime.Seconds())
 	}
 }
 
@@ -137,7 +141,7 @@
 	for _, upstream := range broker.upstreams {
 		upstreams = append(upstreams, UpstreamStats{
 			Upstream: upstream.Upstream, Measured: upstream.samples > 0,
-			ServiceTime: time.Duration(upstream.serviceTime * float64(time.Second)),
+			ServiceTime: time.Duration(upstream.speed.reported * float64(time.Second)), Capacity: broker.keyCapacity(upstream, now),
 		})
 	}
 	return upstreams, broker.fastKeyRates.rates(now), broker.slowKeyRates.rates(now)
--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -35,11 +35,13 @@
 	foreign   map[string]int // slots in use that other brokers assigned, by VM
 
 	offeredLoad      rateMeter // seconds of service time that arrive for its keys
-	serviceTime      float64   // moving average in seconds
-	samples          int       // measurements in serviceTime
-	failureRate      float64   // moving average of the share of failed requests
-	interruptions    int       // consecutive interrupted requests
-	consecutiveSheds int       // consecutive refusals without a free slot
+	serviceTime      float64   // moving average in seconds, over all conditions
+	model            *speedModel
+	speed            speed
+	samples          int     // measurements in serviceTime
+	failureRate      float64 // moving average of the share of failed requests
+	interruptions    int     // consecutive interrupted requests
+	consecutiveSheds int     // consecutive refusals without a free slot
 	interruptedRuns  []interruptedRun
 	evacuatedAt      time.Time // when it became Evacuated
 	coldUntil        time.Time
@@ -50,8 +52,11 @@
 	busyUntil        map[string]time.Time // by VM from which the upstream wants no request
 }
 
-func newUpstreamState(info Upstream, serviceTime float64) *upstreamState {
-	return &upstreamState{Upstream: info, slotLimit: info.Slots, serviceTime: serviceTime, foreign: map[string]int{}, unreachableUntil: map[string]time.Time{}, connectFailures: map[string]int{}, busyUntil: map[string]time.Time{}}
+func newUpstreamState(info Upstream, model *speedModel, serviceTime, normalTime float64) *upstreamState {
+	return &upstreamState{
+		Upstream: info, slotLimit: info.Slots, serviceTime: serviceTime, model: model, speed: newSpeed(normalTime),
+		foreign: map[string]int{}, unreachableUntil: map[string]time.Time{}, connectFailures: map[string]int{}, busyUntil: map[string]time.Time{},
+	}
 }
 
 // inUse returns the number of slots in use, as far as this broker knows.
@@ -83,9 +88,6 @@
 	return !upstream.Evacuated && !now.Before(upstream.pausedUntil) && !now.Before(upstream.unreachableUntil[vm]) && !now.Before(upstream.busyUntil[vm])
 }
 
-// expectedServiceTime returns the expected service time in seconds.
-func (upstream *upstreamState) expectedServiceTime() float64 { return upstream.serviceTime }
-
 // recordResult updates the statistics and pauses of the upstream with the result
 // of a request of the VM.
 func (upstream *upstreamState) recordResult(vm string, result Result, now time.Time) {
@@ -100,7 +102,7 @@
 		upstream.interruptions, upstream.consecutiveSheds = 0, 0
 		delete(upstream.unreachableUntil, vm)
 		delete(upstream.connectFailures, vm)
-		upstream.recordSample(result)
+		upstream.recordSample(result, now)
 	case Shed, Misdirected:
 		upstream.interruptions = 0
 		if result.FreeSlot {
@@ -122,13 +124,13 @@
 			upstream.interruptions = interruptionLimit - 1 // one more interruption pauses it again
 		}
 	case TimedOut:
-		upstream.recordSample(result)
+		upstream.recordSample(result, now)
 	case Abandoned:
 	}
 }
 
 // recordSample updates the failure rate and the service time.
-func (upstream *upstreamState) recordSample(result Result) {
+func (upstream *upstreamState) recordSample(result Result, now time.Time) {
 	failed := 0.0
 	if result.Outcome == Failed {
 		failed = 1
@@ -140,4 +142,5 @@
 	upstream.samples++
 	weight := max(serviceTimeWeight, 1/float64(upstream.samples+2))
 	upstream.serviceTime += weight * (result.Elapsed.Seconds() - upstream.serviceTime)
+	upstream.recordSpeed(result.Elapsed.Seconds(), result.Slowness, weight, now)
 }
--- a/pkg/broker/warmup_test.go
+++ b/pkg/broker/warmup_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,31 +45,42 @@
 	return bounded
 }
 
-// Load: 400 requests per second for 2 s without keys, of which a restarted upstream with
-// free slots gets its share at once. It must get no more than the bound in any second,
-// also when requests are up to 80 ms on their way; all others go elsewhere or wait.
+// Load: 400 requests per second for 2 s without keys, for four upstreams with four slots
+// each, of which one has just restarted. It must get no more than the bound in any second,
+// also when requests are up to 80 ms on their way, and must use most of it: the others are
+// full. Requests beyond that wait or are refused.
 func TestColdUpstreamGetsAtMostItsBound(t *testing.T) {
 	clock := newFakeClock()
-	list := upstreams(4, 100)
+	list := upstreams(4, 4)
 	bounded := newBoundedBroker(clock, list, nil)
 	list[0].StartedAt, list[0].Warmup, list[0].CheckIn = clock.Now().UnixMilli(), 3*time.Second, 1
 	bounded.SetUpstreams(list)
 	random := rand.New(rand.NewPCG(1, 1))
 	received := arrivals{}
+	var waiting []*broker.Waiter
+	running := map[uint64]time.Time{}
 	for range 800 {
-		decision, ok := pollDecision(bounded.Submit(newRequest(1)))
-		assert.Assert(t, ok && decision.Ticket > 0, "a request waits although warm upstreams have free slots")
-		received[decision.Upstream.ID] = append(received[decision.Upstream.ID], clock.Now().Add(time.Duration(random.Int64N(int64(80*time.Millisecond)))))
-		elapsed := 100 * time.Millisecond
-		if decision.Upstream.ID == "u0" {
-			elapsed = 50 * time.Millisecond // the fastest one, although it is cold
+		waiting = append(waiting, bounded.Submit(newRequest(1)))
+		for ticket, end := range running {
+			if !clock.Now().Before(end) {
+				delete(running, ticket)
+				bounded.Release(broker.Result{Ticket: ticket, Outcome: broker.Served, Elapsed: 100 * time.Millisecond})
+			}
 		}
-		bounded.Release(broker.Result{Ticket: decision.Ticket, Outcome: broker.Served, Elapsed: elapsed})
+		waiting = slices.DeleteFunc(waiting, func(waiter *broker.Waiter) bool {
+			decision, ok := pollDecision(waiter)
+			if ok && decision.Ticket > 0 {
+				running[decision.Ticket] = clock.Now().Add(100 * time.Millisecond)
+				received[decision.Upstream.ID] = append(received[decision.Upstream.ID], clock.Now().Add(time.Duration(random.Int64N(int64(80*time.Millisecond)))))
+			}
+			return ok
+		})
 		clock.Advance(2500 * time.Microsecond)
 	}
 	most := received.most("u0")
 	assert.Assert(t, most <= int(coldBound.PerSecond), "%d requests in one second", most)
-	assert.Assert(t, len(received["u0"]) >= 20, "the cold upstream got only %d requests", len(received["u0"]))
+	assert.Assert(t, len(received["u0"]) >= 25, "the cold upstream got only %d requests", len(received["u0"]))
+	assert.Assert(t, len(received["u1"]) >= 70, "a warm upstream got only %d requests", len(received["u1"]))
 }
 
 // Load: no broker, and 73 VMs that each have 40 requests per second for an upstream that
