--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -38,6 +38,7 @@
 	candidates    []*upstreamState // buffer of availableUpstreams, reused to save allocations
 	localMode     localMode
 	warmup        warmup
+	model         speedModel
 }
 
 // ticket is the use of a slot by a request.
@@ -75,6 +76,7 @@
 		broker.tickets = map[uint64]*ticket{}
 		broker.paths = map[zonePair]pathState{}
 		broker.queues = map[string]*queue{}
+		broker.model = speedModel{clock: broker.Clock, slowness: 1, coldSlowness: initialColdSlowness}
 		broker.crashSuspects = suspecter.New(broker.Clock, crashSuspectWindow)
 		broker.fastKeyRates.halfLife, broker.slowKeyRates.halfLife = fastHalfLife, slowHalfLife
 		if broker.Random == nil {
@@ -93,18 +95,23 @@
 	upstreams := make(map[string]*upstreamState, len(list))
 	for _, info := range list {
 		state := broker.upstreams[info.ID]
-		appeared := state == nil || state.StartedAt != info.StartedAt || (state.Draining && !info.Draining)
+		appeared := state == nil || state.StartedAt != info.StartedAt || (state.Draining && !info.Draining) || (state.Evacuated && !info.Evacuated)
 		if state != nil && state.StartedAt != info.StartedAt {
 			broker.recordUpstreamLoss(state, now)
 		}
 		if state == nil || state.StartedAt != info.StartedAt || state.Address != info.Address {
 			former := state
-			state = newUpstreamState(info, broker.meanServiceTime(), &broker.refusals)
+			state = newUpstreamState(info, &broker.model, &broker.refusals, broker.meanServiceTime(), broker.meanNormalTime())
 			if !appeared {
-				state.coldUntil, state.sent = former.coldUntil, former.sent
+				state.coldUntil, state.sent, state.evacuatedAt = former.coldUntil, former.sent, former.evacuatedAt
 			}
 		}
 		broker.markCold(state, info, appeared, now)
+		if info.Evacuated && state.evacuatedAt.IsZero() {
+			state.evacuatedAt = now
+		} else if !info.Evacuated {
+			state.evacuatedAt = time.Time{}
+		}
 		state.Upstream = info
 		if state.limitedSlots != info.Slots { // a limit costs time, and lists change often
 			broker.localMode.limit(state)
--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -41,14 +41,17 @@
 	foreign      map[string]int // slots in use that other brokers assigned, by VM
 
 	offeredLoad      rateMeter // seconds of service time that arrive for its keys
-	serviceTime      float64   // moving average in seconds
-	samples          int       // measurements in serviceTime
-	failureRate      float64   // moving average of the share of failed requests
-	interruptions    int       // consecutive interrupted requests
-	consecutiveSheds int       // consecutive refusals without a free slot
+	serviceTime      float64   // moving average in seconds, over all conditions
+	model            *speedModel
+	speed            speed
+	samples          int     // measurements in serviceTime
+	failureRate      float64 // moving average of the share of failed requests
+	interruptions    int     // consecutive interrupted requests
+	consecutiveSheds int     // consecutive refusals without a free slot
 	refusals         refusalMeter
 	serviceRefusals  *refusalMeter // of all upstreams
 	interruptedRuns  []interruptedRun
+	evacuatedAt      time.Time // when it became Evacuated
 	coldUntil        time.Time
 	sent             sendTimes // while the service has a warm-up bound
 	pausedUntil      time.Time
@@ -57,8 +60,11 @@
 	busyUntil        map[string]time.Time // by VM from which the upstream wants no request
 }
 
-func newUpstreamState(info Upstream, serviceTime float64, serviceRefusals *refusalMeter) *upstreamState {
-	return &upstreamState{Upstream: info, serviceRefusals: serviceRefusals, slotLimit: info.Slots, serviceTime: serviceTime, foreign: map[string]int{}, unreachableUntil: map[string]time.Time{}, connectFailures: map[string]int{}, busyUntil: map[string]time.Time{}}
+func newUpstreamState(info Upstream, model *speedModel, serviceRefusals *refusalMeter, serviceTime, normalTime float64) *upstreamState {
+	return &upstreamState{
+		Upstream: info, serviceRefusals: serviceRefusals, slotLimit: info.Slots, serviceTime: serviceTime, model: model, speed: newSpeed(normalTime),
+		foreign: map[string]int{}, unreachableUntil: map[string]time.Time{}, connectFailures: map[string]int{}, busyUntil: map[string]time.Time{},
+	}
 }
 
 // inUse returns the number of slots in use, as far as this broker knows.
@@ -84,15 +90,12 @@
 	return upstream.freeSlots()
 }
 
-// usable reports whether the upstream is neither paused nor unreachable from the VM, and
-// takes its requests.
+// usable reports whether the upstream is neither evacuated, paused nor unreachable from the
+// VM, and takes its requests.
 func (upstream *upstreamState) usable(vm string, now time.Time) bool {
-	return !now.Before(upstream.pausedUntil) && !now.Before(upstream.unreachableUntil[vm]) && !now.Before(upstream.busyUntil[vm])
+	return !upstream.Evacuated && !now.Before(upstream.pausedUntil) && !now.Before(upstream.unreachableUntil[vm]) && !now.Before(upstream.busyUntil[vm])
 }
 
-// expectedServiceTime returns the expected service time in seconds.
-func (upstream *upstreamState) expectedServiceTime() float64 { return upstream.serviceTime }
-
 // recordResult updates the statistics and pauses of the upstream with the result
 // of a request of the VM.
 func (upstream *upstreamState) recordResult(vm string, result Result, now time.Time) {
@@ -108,7 +111,7 @@
 		upstream.recordAcceptance(now)
 		delete(upstream.unreachableUntil, vm)
 		delete(upstream.connectFailures, vm)
-		upstream.recordSample(result)
+		upstream.recordSample(result, now)
 	case Shed, Misdirected:
 		upstream.recordRefusal(result, now)
 	case Unreachable:
@@ -137,7 +140,7 @@
 }
 
 // recordSample updates the failure rate and the service time.
-func (upstream *upstreamState) recordSample(result Result) {
+func (upstream *upstreamState) recordSample(result Result, now time.Time) {
 	failed := 0.0
 	if result.Outcome == Failed {
 		failed = 1
@@ -149,4 +152,5 @@
 	upstream.samples++
 	weight := max(serviceTimeWeight, 1/float64(upstream.samples+2))
 	upstream.serviceTime += weight * (result.Elapsed.Seconds() - upstream.serviceTime)
+	upstream.recordSpeed(result.Elapsed.Seconds(), result.Slowness, weight, now)
 }
