--- a/pkg/broker/evacuation.go
+++ b/pkg/broker/evacuation.go
@@ -27,9 +27,10 @@
 
 // estimateEvacuated is estimateKeyed for a key whose owner is in an evacuated zone. Its
 // requests wait until the key has another owner.
-func (broker *Broker) estimateEvacuated(owner *upstreamState, now time.Time) (wait, serviceTime float64, ok bool) {
+func (broker *Broker) estimateEvacuated(owner *upstreamState, now time.Time) (expected forecast, ok bool) {
 	left := owner.evacuatedAt.Add(evacuationMoveWait).Sub(now)
-	return min(left, expectedMoveTime).Seconds(), broker.meanServiceTime(), left > 0 && broker.anyRemaining()
+	expected = forecast{delay: min(left, expectedMoveTime).Seconds(), serviceTime: broker.meanServiceTime(), spread: broker.spread}
+	return expected, left > 0 && broker.anyRemaining()
 }
 
 // refuseEvacuated refuses the waiting requests that only upstreams in evacuated zones can
@@ -39,7 +40,7 @@
 		return
 	}
 	if owner := broker.upstreams[queue.owner]; owner != nil {
-		if _, _, ok := broker.estimateEvacuated(owner, now); !owner.Evacuated || ok {
+		if _, ok := broker.estimateEvacuated(owner, now); !owner.Evacuated || ok {
 			return
 		}
 	} else if !broker.anyEvacuated() || broker.anyRemaining() {
--- a/pkg/broker/upstream.go
+++ b/pkg/broker/upstream.go
@@ -50,6 +50,7 @@
 	consecutiveSheds int     // consecutive refusals without a free slot
 	refusals         refusalMeter
 	serviceRefusals  *refusalMeter // of all upstreams
+	classes          classLoads    // of requests for its keys
 	interruptedRuns  []interruptedRun
 	evacuatedAt      time.Time // when it became Evacuated
 	coldUntil        time.Time
