Order everything read from the store by its era, then by revision

After a restore from an old copy the store reuses revisions. Followers ignored its lists as older than what they had, and conditional writes could meet a reused revision. Objects, lists, watches and relayed changes now carry the era of the header Store-Era; a follower lists again at once in a new era, and no call is made against a version of an earlier one. Without the header all eras are 0, and messages between VMs are as before.

--- a/internal/allocator/calls.go
+++ b/internal/allocator/calls.go
@@ -62,12 +62,14 @@
 	allocator.mutex.Lock()
 	allocator.peer(from).lastHeard = allocator.Clock.Now()
 	allocator.mutex.Unlock()
-	allocator.observeRevisions(message.NewestRevisions)
-	changes, completeTo := allocator.changesAfter(message.CompleteRevisions)
+	allocator.observeVersions(decodeVersions(message.NewestRevisions, message.NewestEras))
+	changes, completeTo := allocator.changesAfter(decodeVersions(message.CompleteRevisions, message.CompleteEras))
 	answer := reportAnswer{
-		LedTerms: map[string]uint64{}, NewestRevisions: allocator.newestRevisions(), Changes: changes, CompleteTo: completeTo, StoreLostFor: allocator.storeLostFor(),
+		LedTerms: map[string]uint64{}, Changes: changes, StoreLostFor: allocator.storeLostFor(),
 		ListAge: allocator.listAge(), StoreRegainedAgo: allocator.storeRegainedAgo(),
 	}
+	answer.NewestRevisions, answer.NewestEras = encodeVersions(allocator.newestVersions())
+	answer.CompleteTo, answer.CompleteToEras = encodeVersions(completeTo)
 	for _, service := range allocator.allServices() {
 		if term, ok := service.ledTerm(); ok {
 			answer.LedTerms[service.name] = term
--- a/internal/allocator/claim.go
+++ b/internal/allocator/claim.go
@@ -21,14 +21,14 @@
 	StaleRenewalMs int64 `json:"exposedMs,omitempty"`
 }
 
-// storedClaim is a claim with its revision in the store.
+// storedClaim is a claim with its version in the store.
 type storedClaim struct {
 	Claim
-	revision uint64
+	version storer.Version
 }
 
 func decodeClaim(object storer.Object) (storedClaim, error) {
-	claim := storedClaim{revision: object.Revision}
+	claim := storedClaim{version: object.Version()}
 	if err := json.Unmarshal(object.Spec, &claim.Claim); err != nil {
 		return claim, fmt.Errorf("decode claim of service %q: %w", object.Name, err)
 	}
--- a/internal/allocator/lead.go
+++ b/internal/allocator/lead.go
@@ -98,14 +98,14 @@
 // process stops its work as broker.
 func (service *service) applyClaim(claim storedClaim) {
 	service.mutex.Lock()
-	if claim.revision <= service.claim.revision {
+	if !claim.version.After(service.claim.version) {
 		service.mutex.Unlock()
 		return
 	}
 	changed := service.claim.Broker != claim.Broker
 	if service.claim.Term != claim.Term || service.claim.Broker != claim.Broker {
 		service.claimSeenAt, service.vacantSince = service.allocator.Clock.Now(), time.Time{}
-		service.allocator.Log.Info("broker changed", "service", service.name, "broker", claim.Broker, "term", claim.Term, "revision", claim.revision)
+		service.allocator.Log.Info("broker changed", "service", service.name, "broker", claim.Broker, "term", claim.Term, "revision", claim.version)
 	}
 	if claim.Term < service.claim.Term {
 		// Another VM has reported a later broker, whose claim has not arrived yet.
@@ -244,7 +244,7 @@
 		service.vacantSince = now()
 	}
 	delay := service.claimDelay(vm)
-	if service.claim.revision == 0 {
+	if service.claim.version.IsZero() {
 		delay += initialClaimDelay
 	}
 	if now().Before(service.vacantSince.Add(delay)) {
@@ -310,7 +310,7 @@
 	}
 	inherited, ended := service.probeFormerBroker(ctx, former)
 	next := Claim{Broker: allocator.VM, BootID: allocator.BootID, Term: former.Term + 1, StaleRenewalMs: inherited.Milliseconds()}
-	revision, ok := service.writeClaim(ctx, former, next)
+	version, ok := service.writeClaim(ctx, former, next)
 	if !ok {
 		return
 	}
@@ -320,7 +320,7 @@
 	if !ended {
 		stale, ended = service.demoteFormerBroker(ctx, former.Broker, next.Term)
 	}
-	service.becomeBroker(storedClaim{next, revision}, stale)
+	service.becomeBroker(storedClaim{next, version}, stale)
 	if !ended {
 		service.awaitFormerRestart(former, next.Term)
 	}
@@ -336,17 +336,17 @@
 
 // writeClaim replaces the former claim in the store. If the outcome of the write is
 // unknown, it reads the claim back, because the write may have taken effect.
-func (service *service) writeClaim(ctx context.Context, former storedClaim, next Claim) (revision uint64, ok bool) {
+func (service *service) writeClaim(ctx context.Context, former storedClaim, next Claim) (version storer.Version, ok bool) {
 	allocator := service.allocator
 	var object storer.Object
 	var err error
-	if former.revision == 0 {
+	if former.version.IsZero() {
 		object, err = allocator.Store.Create(ctx, KindBrokers, service.name, next)
 	} else {
-		object, err = allocator.Store.Replace(ctx, KindBrokers, service.name, former.revision, next)
+		object, err = allocator.Store.Replace(ctx, KindBrokers, service.name, former.version, next)
 	}
 	if err == nil {
-		return object.Revision, true
+		return object.Version(), true
 	}
 	if storer.HasCurrentObject(object, err) {
 		err = nil
@@ -355,14 +355,14 @@
 	}
 	if err != nil {
 		allocator.Log.Info("failed to write claim", "service", service.name, "error", err.Error())
-		return 0, false
+		return storer.Version{}, false
 	}
 	stored, err := decodeClaim(object)
 	if err == nil && stored.Claim == next {
-		return object.Revision, true
+		return object.Version(), true
 	}
 	allocator.handleClaim(object)
-	return 0, false
+	return storer.Version{}, false
 }
 
 // becomeBroker starts this process's term as broker. Earlier brokers may still renew
@@ -384,7 +384,7 @@
 	for _, follower := range allocator.Followers {
 		follower.Relist()
 	}
-	allocator.Log.Info("this VM is the broker", "service", service.name, "term", claim.Term, "revision", claim.revision)
+	allocator.Log.Info("this VM is the broker", "service", service.name, "term", claim.Term, "revision", claim.version)
 	if !service.keyed {
 		return
 	}
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -76,6 +76,9 @@
 	// followers.
 	NewestRevisions   []uint64 `cbor:"4,keyasint,omitempty"`
 	CompleteRevisions []uint64 `cbor:"5,keyasint,omitempty"`
+	// NewestEras and CompleteEras are the eras of these revisions; absent if all are 0.
+	NewestEras   []uint64 `cbor:"6,keyasint,omitempty"`
+	CompleteEras []uint64 `cbor:"7,keyasint,omitempty"`
 	// BrokerTerms are the terms, by service, in which the VM acknowledges the receiver as
 	// the broker.
 	BrokerTerms map[string]uint64 `cbor:"3,keyasint,omitempty"`
@@ -93,6 +96,10 @@
 	// CompleteTo are the revisions up to which the reporting VM has every change once it
 	// has these, in the order of the followers; 0 for those whose changes are left out.
 	CompleteTo []uint64 `cbor:"8,keyasint,omitempty"`
+	// NewestEras and CompleteToEras are the eras of these revisions; absent if all are 0.
+	// A change has the era of the revision to which it is complete.
+	NewestEras     []uint64 `cbor:"9,keyasint,omitempty"`
+	CompleteToEras []uint64 `cbor:"10,keyasint,omitempty"`
 	// ListAge is the age of the broker's lists of the store if the broker polls it;
 	// otherwise 0.
 	ListAge time.Duration `cbor:"6,keyasint,omitempty"`
--- a/internal/allocator/relay.go
+++ b/internal/allocator/relay.go
@@ -123,35 +123,40 @@
 // applyRelayedChanges applies the changes and the state of the store from a broker's
 // answer.
 func (allocator *Allocator) applyRelayedChanges(answer reportAnswer) {
+	completeTo := decodeVersions(answer.CompleteTo, answer.CompleteToEras)
 	for i, follower := range allocator.Followers {
 		if answer.StoreRegainedAgo > 0 {
 			follower.RecordRecovery(answer.StoreRegainedAgo)
 		}
 		if i < len(answer.Changes) {
 			changes := make([]storer.Change, len(answer.Changes[i]))
+			era := uint64(0)
+			if i < len(completeTo) {
+				era = completeTo[i].Era
+			}
 			for j, change := range answer.Changes[i] {
 				changes[j] = storer.Change{Deleted: change.Deleted, Object: storer.Object{
-					Kind: follower.Kind, Name: change.Name, Revision: change.Revision, Deleting: change.Deleting, Spec: change.Spec, Status: change.Status,
+					Kind: follower.Kind, Name: change.Name, Revision: change.Revision, Era: era, Deleting: change.Deleting, Spec: change.Spec, Status: change.Status,
 				}}
 			}
 			follower.Apply(changes)
 		}
-		if len(answer.CompleteTo) == len(allocator.Followers) {
-			follower.Advance(answer.CompleteTo[i])
+		if len(completeTo) == len(allocator.Followers) {
+			follower.Advance(completeTo[i])
 		}
 	}
-	allocator.observeRevisions(answer.NewestRevisions)
+	allocator.observeVersions(decodeVersions(answer.NewestRevisions, answer.NewestEras))
 }
 
-// changesAfter returns the changes after the given complete revisions, and the revisions
+// changesAfter returns the changes after the given complete versions, and the versions
 // up to which they are complete, by follower. It leaves out those of a follower that does
 // not know them all, or whose changes exceed maxRelayedBytes. The VM then detects by the
 // newest revisions that it must list.
-func (allocator *Allocator) changesAfter(complete []uint64) (all [][]relayedChange, completeTo []uint64) {
+func (allocator *Allocator) changesAfter(complete []storer.Version) (all [][]relayedChange, completeTo []storer.Version) {
 	if len(complete) != len(allocator.Followers) {
 		return nil, nil // the VM runs another version
 	}
-	completeTo = make([]uint64, len(allocator.Followers))
+	completeTo = make([]storer.Version, len(allocator.Followers))
 	size := 0
 	for i, follower := range allocator.Followers {
 		changes, to, ok := follower.ChangesSince(complete[i])
@@ -183,29 +188,28 @@
 	return all, completeTo
 }
 
-// newestRevisions returns the revisions of the newest changes that this VM has received,
+// newestVersions returns the versions of the newest changes that this VM has received,
 // by follower.
-func (allocator *Allocator) newestRevisions() []uint64 {
-	revisions := make([]uint64, len(allocator.Followers))
+func (allocator *Allocator) newestVersions() []storer.Version {
+	versions := make([]storer.Version, len(allocator.Followers))
 	for i, follower := range allocator.Followers {
-		revisions[i] = follower.Revision()
+		versions[i] = follower.Revision()
 	}
-	return revisions
+	return versions
 }
 
-// completeRevisions returns the revisions up to which this VM has all changes, by
-// follower.
-func (allocator *Allocator) completeRevisions() []uint64 {
-	revisions := make([]uint64, len(allocator.Followers))
+// completeVersions returns the versions up to which this VM has all changes, by follower.
+func (allocator *Allocator) completeVersions() []storer.Version {
+	versions := make([]storer.Version, len(allocator.Followers))
 	for i, follower := range allocator.Followers {
-		revisions[i] = follower.CompleteRevision()
+		versions[i] = follower.CompleteRevision()
 	}
-	return revisions
+	return versions
 }
 
-// observeRevisions passes the newest revisions of another VM to the followers, which list
+// observeVersions passes the newest versions of another VM to the followers, which list
 // the store if they are behind.
-func (allocator *Allocator) observeRevisions(newest []uint64) {
+func (allocator *Allocator) observeVersions(newest []storer.Version) {
 	if len(newest) != len(allocator.Followers) {
 		return // the VM runs another version
 	}
@@ -214,6 +218,33 @@
 	}
 }
 
+// encodeVersions returns the revisions and the eras of the versions. eras is nil if all
+// are 0, as with a store that does not tell its era.
+func encodeVersions(versions []storer.Version) (revisions, eras []uint64) {
+	for i, version := range versions {
+		revisions = append(revisions, version.Revision)
+		if version.Era > 0 && eras == nil {
+			eras = make([]uint64, len(versions))
+		}
+		if eras != nil {
+			eras[i] = version.Era
+		}
+	}
+	return revisions, eras
+}
+
+// decodeVersions is the inverse of encodeVersions.
+func decodeVersions(revisions, eras []uint64) []storer.Version {
+	versions := make([]storer.Version, len(revisions))
+	for i, revision := range revisions {
+		versions[i].Revision = revision
+		if len(eras) == len(revisions) {
+			versions[i].Era = eras[i]
+		}
+	}
+	return versions
+}
+
 // listAge returns the age of this VM's oldest list of the store if it polls the store;
 // otherwise 0.
 func (allocator *Allocator) listAge() time.Duration {
--- a/internal/allocator/replace.go
+++ b/internal/allocator/replace.go
@@ -107,9 +107,9 @@
 func (service *service) clearStaleRenewal(ctx context.Context, claim storedClaim) {
 	next := claim.Claim
 	next.StaleRenewalMs = 0
-	revision, ok := service.writeClaim(ctx, claim, next)
+	version, ok := service.writeClaim(ctx, claim, next)
 	if ok {
-		service.applyClaim(storedClaim{next, revision})
+		service.applyClaim(storedClaim{next, version})
 	} else {
 		_ = clocker.Sleep(ctx, service.allocator.Clock, restartCheckInterval) // before the next attempt
 	}
--- a/internal/allocator/report.go
+++ b/internal/allocator/report.go
@@ -42,7 +42,10 @@
 			continue
 		}
 		allocator.tasks.Go(func() error {
-			allocator.sendReport(ctx, vm, reportMessage{ForeignSlots: counts, BrokerTerms: brokerTerms[vm], NewestRevisions: allocator.newestRevisions(), CompleteRevisions: allocator.completeRevisions()})
+			message := reportMessage{ForeignSlots: counts, BrokerTerms: brokerTerms[vm]}
+			message.NewestRevisions, message.NewestEras = encodeVersions(allocator.newestVersions())
+			message.CompleteRevisions, message.CompleteEras = encodeVersions(allocator.completeVersions())
+			allocator.sendReport(ctx, vm, message)
 			return nil
 		})
 	}
--- a/internal/allocator/resign.go
+++ b/internal/allocator/resign.go
@@ -77,11 +77,11 @@
 	ctx, cancel := clocker.WithTimeout(context.Background(), allocator.Clock, time.Second)
 	defer cancel()
 	vacant := Claim{BootID: allocator.BootID, Term: claim.Term, StaleRenewalMs: stale.Milliseconds()}
-	revision, ok := service.writeClaim(ctx, claim, vacant)
+	version, ok := service.writeClaim(ctx, claim, vacant)
 	if !ok {
 		allocator.Log.Warn("failed to write resignation as broker", "service", service.name, "term", claim.Term)
 		return
 	}
 	allocator.Log.Info("resigned as broker", "service", service.name, "term", claim.Term)
-	service.applyClaim(storedClaim{vacant, revision})
+	service.applyClaim(storedClaim{vacant, version})
 }
--- a/internal/allocator/system_test.go
+++ b/internal/allocator/system_test.go
@@ -32,6 +32,7 @@
 	mutex     sync.Mutex
 	vms       map[string]*vm
 	objects   map[string]storer.Object
+	era       uint64             // of the store
 	revision  uint64             // of the newest object
 	writes    int                // of objects by VMs
 	cpuShares map[string]float64 // in cores, by VM
@@ -143,7 +144,7 @@
 	return store.vm.system.mutex.Unlock, nil
 }
 
-func (store store) List(_ context.Context, kind string) ([]storer.Object, uint64, error) {
+func (store store) List(_ context.Context, kind string) ([]storer.Object, storer.Version, error) {
 	store.countCall(kind)
 	return store.list(kind)
 }
@@ -157,10 +158,10 @@
 	}
 }
 
-func (store store) list(kind string) ([]storer.Object, uint64, error) {
+func (store store) list(kind string) ([]storer.Object, storer.Version, error) {
 	unlock, err := store.lock()
 	if err != nil {
-		return nil, 0, err
+		return nil, storer.Version{}, err
 	}
 	defer unlock()
 	var objects []storer.Object
@@ -169,23 +170,26 @@
 			objects = append(objects, object)
 		}
 	}
-	return objects, store.vm.system.revision, nil
+	return objects, storer.Version{Era: store.vm.system.era, Revision: store.vm.system.revision}, nil
 }
 
-func (store store) ListStale(ctx context.Context, kind string) ([]storer.Object, uint64, error) {
+func (store store) ListStale(ctx context.Context, kind string) ([]storer.Object, storer.Version, error) {
 	return store.List(ctx, kind)
 }
 
-func (store store) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+func (store store) Watch(ctx context.Context, kind string, after storer.Version, wait time.Duration) ([]storer.Change, storer.Version, error) {
 	store.countCall(kind)
 	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 		objects, at, err := store.list(kind)
 		if err != nil {
-			return nil, 0, err
+			return nil, storer.Version{}, err
+		}
+		if at.Era > after.Era {
+			return nil, storer.Version{}, storer.ErrEraChanged
 		}
 		var changes []storer.Change
 		for _, object := range objects {
-			if object.Revision > after {
+			if object.Version().After(after) {
 				changes = append(changes, storer.Change{Object: object})
 			}
 		}
@@ -204,16 +208,27 @@
 	defer unlock()
 	object, ok := store.vm.system.objects[kind+"/"+name]
 	if !ok {
-		return object, storer.ErrNotFound
+		return storer.Object{Era: store.vm.system.era}, storer.ErrNotFound
 	}
 	return object, nil
 }
 
-func (store store) Create(ctx context.Context, kind, name string, spec any) (storer.Object, error) {
-	return store.Replace(ctx, kind, name, 0, spec)
+func (store store) Create(_ context.Context, kind, name string, spec any) (storer.Object, error) {
+	return store.write(kind, name, storer.Version{}, spec)
+}
+
+func (store store) Replace(_ context.Context, kind, name string, version storer.Version, spec any) (storer.Object, error) {
+	store.vm.system.mutex.Lock()
+	changed := version.Era < store.vm.system.era
+	store.vm.system.mutex.Unlock()
+	if changed {
+		return storer.Object{}, storer.ErrEraChanged
+	}
+	return store.write(kind, name, version, spec)
 }
 
-func (store store) Replace(_ context.Context, kind, name string, revision uint64, spec any) (storer.Object, error) {
+// write writes an object that must have the given version.
+func (store store) write(kind, name string, version storer.Version, spec any) (storer.Object, error) {
 	data, err := json.Marshal(spec)
 	if err != nil {
 		return storer.Object{}, err
@@ -224,12 +239,12 @@
 	}
 	defer unlock()
 	system := store.vm.system
-	if system.objects[kind+"/"+name].Revision != revision {
+	if system.objects[kind+"/"+name].Revision != version.Revision {
 		return storer.Object{}, storer.ErrConflict
 	}
 	system.revision++
 	system.writes++
-	object := storer.Object{Kind: kind, Name: name, Revision: system.revision, Spec: data}
+	object := storer.Object{Kind: kind, Name: name, Era: system.era, Revision: system.revision, Spec: data}
 	system.objects[kind+"/"+name] = object
 	return object, nil
 }
@@ -312,7 +327,7 @@
 	system.mutex.Lock()
 	defer system.mutex.Unlock()
 	system.revision++
-	system.objects["config/main"] = storer.Object{Kind: "config", Name: "main", Revision: system.revision, Spec: []byte("{}")}
+	system.objects["config/main"] = storer.Object{Kind: "config", Name: "main", Era: system.era, Revision: system.revision, Spec: []byte("{}")}
 	return system.revision
 }
 
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -134,7 +134,7 @@
 	if err := json.Unmarshal(object.Spec, &stored); err == nil && stored == enroller.Self {
 		return nil
 	}
-	_, err = enroller.Store.Replace(ctx, KindVMs, enroller.Name, object.Revision, enroller.Self)
+	_, err = enroller.Store.Replace(ctx, KindVMs, enroller.Name, object.Version(), enroller.Self)
 	return err
 }
 
--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -266,10 +266,10 @@
 }
 
 func (store fakeStore) Create(ctx context.Context, kind, name string, spec any) (storer.Object, error) {
-	return store.Replace(ctx, kind, name, 0, spec)
+	return store.Replace(ctx, kind, name, storer.Version{}, spec)
 }
 
-func (store fakeStore) Replace(_ context.Context, _, name string, revision uint64, spec any) (storer.Object, error) {
+func (store fakeStore) Replace(_ context.Context, _, name string, version storer.Version, spec any) (storer.Object, error) {
 	if err := store.begin(); err != nil {
 		return storer.Object{}, err
 	}
@@ -279,7 +279,7 @@
 	}
 	store.cluster.mutex.Lock()
 	defer store.cluster.mutex.Unlock()
-	if store.cluster.objects[name].Revision != revision {
+	if store.cluster.objects[name].Revision != version.Revision {
 		return storer.Object{}, storer.ErrConflict
 	}
 	store.cluster.revision++
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -75,9 +75,9 @@
 
 	mutex              sync.Mutex
 	ledger             *Ledger
-	revision           uint64
-	writes             uint64        // the number of the last write of the ledger, whether it succeeded or not
-	assignments        []*assignment // in ascending order of keys
+	version            storer.Version // of the ledger in the store
+	writes             uint64         // the number of the last write of the ledger, whether it succeeded or not
+	assignments        []*assignment  // in ascending order of keys
 	upstreams          map[string]broker.Upstream
 	addresses          map[string]broker.Upstream // of all services: the one that started last, by address
 	grantInFlight      map[string]bool            // owners with a grant call in progress, by incarnation
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -268,9 +268,9 @@
 // is stored. The mutex is held.
 func (keeper *Keeper) write(change change) {
 	keeper.writeInProgress = true
-	next, revision := keeper.ledgerFor(change), keeper.revision
+	next, version := keeper.ledgerFor(change), keeper.version
 	keeper.group.Go(func() error {
-		stored, err := keeper.storeLedger(next, revision)
+		stored, err := keeper.storeLedger(next, version)
 		keeper.mutex.Lock()
 		defer keeper.mutex.Unlock()
 		keeper.writeInProgress = false
@@ -289,15 +289,15 @@
 	})
 }
 
-// storeLedger replaces the ledger of the given revision in the store and returns the
-// new revision. After an attempt whose outcome is unknown it reads the ledger back,
+// storeLedger replaces the ledger of the given version in the store and returns the
+// new version. After an attempt whose outcome is unknown it reads the ledger back,
 // because the write may have taken effect.
-func (keeper *Keeper) storeLedger(next *Ledger, revision uint64) (uint64, error) {
+func (keeper *Keeper) storeLedger(next *Ledger, version storer.Version) (storer.Version, error) {
 	var last error
 	for range maxWriteAttempts {
-		object, err := keeper.Store.Replace(keeper.ctx, KindLedgers, keeper.Service, revision, next)
+		object, err := keeper.Store.Replace(keeper.ctx, KindLedgers, keeper.Service, version, next)
 		if err == nil {
-			return object.Revision, nil
+			return object.Version(), nil
 		}
 		last = err
 		if !errors.Is(err, storer.ErrRefused) {
@@ -309,18 +309,18 @@
 			} else {
 				switch {
 				case stored.BootID != next.BootID || stored.Term != next.Term:
-					return 0, fmt.Errorf("%w: the ledger has term %d", ErrReplaced, stored.Term)
+					return storer.Version{}, fmt.Errorf("%w: the ledger has term %d", ErrReplaced, stored.Term)
 				case stored.Writes == next.Writes:
-					return object.Revision, nil
+					return object.Version(), nil
 				}
-				revision = object.Revision
+				version = object.Version()
 			}
 		}
 		if err := sleep(keeper.ctx, keeper, writeRetryInterval); err != nil {
-			return 0, errors.Join(last, err)
+			return storer.Version{}, errors.Join(last, err)
 		}
 	}
-	return 0, last
+	return storer.Version{}, last
 }
 
 func sleep(ctx context.Context, keeper *Keeper, d time.Duration) error {
@@ -337,7 +337,7 @@
 // apply puts a change into effect whose ledger is stored. Answers that arrived during
 // the write are recorded in the current assignments, from which the change was
 // derived; assignments that the change leaves alone are the same objects.
-func (keeper *Keeper) apply(change change, ledger *Ledger, revision uint64) {
+func (keeper *Keeper) apply(change change, ledger *Ledger, version storer.Version) {
 	moved := 0
 	for _, assignment := range change.assignments {
 		keeper.refresh(assignment)
@@ -345,8 +345,8 @@
 			moved += assignment.keys.To - assignment.keys.From + 1
 		}
 	}
-	keeper.assignments, keeper.ledger, keeper.revision = change.assignments, ledger, revision
-	keeper.Log.Info("ledger written", "service", keeper.Service, "term", ledger.Term, "writes", ledger.Writes, "revision", revision,
+	keeper.assignments, keeper.ledger, keeper.version = change.assignments, ledger, version
+	keeper.Log.Info("ledger written", "service", keeper.Service, "term", ledger.Term, "writes", ledger.Writes, "revision", version,
 		"shares", len(ledger.Shares), "owners", len(ledger.Owners), "lastFence", ledger.LastFence, "movingKeys", moved)
 	if keeper.OnLedgerWritten != nil {
 		keeper.OnLedgerWritten(ledger)
--- a/internal/keeper/takeover.go
+++ b/internal/keeper/takeover.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			return err
 		}
-		keeper.restore(created, object.Revision)
+		keeper.restore(created, object.Version())
 		return nil
 	}
 	if err != nil {
@@ -51,18 +51,18 @@
 	}
 	if stored.BootID != keeper.BootID || stored.Term != keeper.Term {
 		next := stored.WithWriter(keeper.BootID, keeper.Term)
-		object, err = keeper.Store.Replace(ctx, KindLedgers, keeper.Service, object.Revision, next)
+		object, err = keeper.Store.Replace(ctx, KindLedgers, keeper.Service, object.Version(), next)
 		if err != nil {
 			return err
 		}
 		stored = next
 	}
-	keeper.restore(stored, object.Revision)
+	keeper.restore(stored, object.Version())
 	return nil
 }
 
 // restore sets the assignments from the shares of the ledger.
-func (keeper *Keeper) restore(ledger *Ledger, revision uint64) {
+func (keeper *Keeper) restore(ledger *Ledger, version storer.Version) {
 	for _, owner := range ledger.Owners {
 		if owner.ServiceTimeMs > 0 {
 			keeper.Broker.SetExpectedServiceTime(owner.ID, owner.StartedAt, time.Duration(owner.ServiceTimeMs)*time.Millisecond)
@@ -70,8 +70,8 @@
 	}
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	keeper.ledger, keeper.revision = ledger, revision
-	keeper.Log.Info("ledger taken over", "service", keeper.Service, "term", ledger.Term, "writes", ledger.Writes, "revision", revision, "shares", len(ledger.Shares))
+	keeper.ledger, keeper.version = ledger, version
+	keeper.Log.Info("ledger taken over", "service", keeper.Service, "term", ledger.Term, "writes", ledger.Writes, "revision", version, "shares", len(ledger.Shares))
 	if keeper.OnLedgerWritten != nil {
 		keeper.OnLedgerWritten(ledger)
 	}
--- a/internal/storer/follower.go
+++ b/internal/storer/follower.go
@@ -52,12 +52,13 @@
 	// callbackMutex is held while OnList or OnChanges runs. It is locked before mutex.
 	callbackMutex sync.Mutex
 	mutex         sync.Mutex
-	revision      uint64 // of the newest change
-	// listRevision is the revision of the store at the last list. It may be above
+	revision      Version // of the newest change
+	// listRevision is the version of the store at the last list. It may be above
 	// revision, because a list does not show deletions.
-	listRevision  uint64
-	advancedTo    uint64 // see Advance; no reason to ignore a list
-	interrupted   bool   // the current call was cancelled in order to list
+	listRevision  Version
+	advancedTo    Version // see Advance; no reason to ignore a list
+	era           uint64  // the latest one of the store that is known, see ObserveEra
+	interrupted   bool    // the current call was cancelled in order to list
 	cancelCall    context.CancelFunc
 	interruptedAt time.Time // when ObserveRevision last interrupted a call
 	failingSince  time.Time // when calls began to fail; zero while they succeed
@@ -96,23 +97,24 @@
 	deferredBackoff = 3 * time.Second
 )
 
-// Revision returns the revision of the newest change that was received.
-func (follower *Follower) Revision() uint64 {
+// Revision returns the version of the newest change that was received.
+func (follower *Follower) Revision() Version {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	return follower.revision
 }
 
 // ObserveRevision tells the follower that another VM has received a change with the
-// given revision. If this follower has missed it, all objects are listed again.
-func (follower *Follower) ObserveRevision(revision uint64) {
+// given version. If this follower has missed it, all objects are listed again.
+func (follower *Follower) ObserveRevision(version Version) {
+	follower.ObserveEra(version.Era)
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	now := follower.Clock.Now()
-	if revision <= max(follower.revision, follower.listRevision, follower.advancedTo) || follower.cancelCall == nil || now.Sub(follower.interruptedAt) < interruptInterval {
+	if !version.After(latest(follower.revision, follower.listRevision, follower.advancedTo)) || follower.cancelCall == nil || now.Sub(follower.interruptedAt) < interruptInterval {
 		return
 	}
-	follower.Log.Info("watch is behind other VMs, listing all objects", "kind", follower.Kind, "revision", follower.revision, "others", revision)
+	follower.Log.Info("watch is behind other VMs, listing all objects", "kind", follower.Kind, "revision", follower.revision, "others", version)
 	follower.interrupted, follower.interruptedAt = true, now
 	follower.cancelCall()
 }
@@ -177,7 +179,7 @@
 
 // Run follows the objects until ctx is done. Its error is always nil.
 func (follower *Follower) Run(ctx context.Context) error {
-	listed, revision := false, uint64(0)
+	listed, revision := false, Version{}
 	failures, lostSince := 0, time.Time{}
 	for ctx.Err() == nil {
 		called := follower.Clock.Now()
@@ -210,6 +212,10 @@
 		case errors.Is(err, errStaleList):
 			listed = false
 			continue
+		case errors.Is(err, ErrEraChanged):
+			// Not a failure. Its list follows at once, and logs the new era.
+			listed = false
+			continue
 		case errors.Is(err, ErrHistoryGone):
 			follower.Log.Info("store no longer has the change history, listing all objects", "kind", follower.Kind, "revision", revision)
 			listed = false
@@ -255,48 +261,56 @@
 
 // step makes the next call, or waits for relayed changes, and returns the revision to
 // continue from.
-func (follower *Follower) step(ctx context.Context, listed bool, revision uint64) (uint64, error) {
-	if !listed {
+func (follower *Follower) step(ctx context.Context, listed bool, revision Version) (Version, error) {
+	if !listed || follower.isBehindEra() {
 		return follower.list(ctx, follower.Store.List)
 	}
 	if follower.ShouldPoll != nil && follower.ShouldPoll() {
 		age, _ := follower.ListAge()
 		if err := clocker.Sleep(ctx, follower.Clock, max(pollInterval-age, 0)); err != nil {
-			return 0, err
+			return Version{}, err
 		}
 		return follower.list(ctx, follower.Store.List)
 	}
 	if follower.isRelayed() {
 		return follower.awaitRelay(ctx, revision)
 	}
-	changes, next, err := follower.Store.Watch(ctx, follower.Kind, max(revision, follower.CompleteRevision()), watchTimeout)
+	changes, next, err := follower.Store.Watch(ctx, follower.Kind, latest(revision, follower.CompleteRevision()), watchTimeout)
 	if err != nil {
 		// The store may end a watch early. How long it waited says nothing about an outage.
 		follower.maybeLostSince = follower.Clock.Now()
-		return 0, err
+		return Version{}, err
+	}
+	if next.Era != follower.CompleteRevision().Era {
+		return Version{}, ErrEraChanged
 	}
 	follower.Apply(changes)
 	if len(changes) > 0 && follower.WatchDelay != nil {
 		if err := clocker.Sleep(ctx, follower.Clock, follower.WatchDelay()); err != nil {
-			return 0, err
+			return Version{}, err
 		}
 	}
-	return max(next, revision), nil
+	return latest(next, revision), nil
 }
 
 // list reads all objects and reports them to OnList. If another VM has relayed a newer
 // change in the meantime, the list is discarded and the error is errStaleList.
-func (follower *Follower) list(ctx context.Context, read func(context.Context, string) ([]Object, uint64, error)) (uint64, error) {
+func (follower *Follower) list(ctx context.Context, read func(context.Context, string) ([]Object, Version, error)) (Version, error) {
 	began := follower.Clock.Now()
 	follower.maybeLostSince = began
 	objects, next, err := read(ctx, follower.Kind)
 	if err != nil {
-		return 0, err
+		return Version{}, err
 	}
 	follower.callbackMutex.Lock()
 	defer follower.callbackMutex.Unlock()
-	if !follower.recordList(objects, next, began) {
-		return 0, errStaleList
+	restored, err := follower.recordList(objects, next, began)
+	if err != nil {
+		return Version{}, err
+	}
+	if restored && follower.OnResponse != nil {
+		// Entries that the copy lacks are written again.
+		follower.OnResponse(began, true)
 	}
 	follower.OnList(objects)
 	return next, nil
@@ -314,22 +328,22 @@
 
 // awaitRelay waits while other VMs relay changes. After an interval it reads a stale
 // list, which is ignored if it is older than the changes received.
-func (follower *Follower) awaitRelay(ctx context.Context, revision uint64) (uint64, error) {
+func (follower *Follower) awaitRelay(ctx context.Context, revision Version) (Version, error) {
 	interval := staleListInterval
 	if follower.RelyingVMs != nil {
 		interval = max(interval, interval*time.Duration(follower.RelyingVMs())/staleListVMs)
 	}
 	for waited := time.Duration(0); waited < interval; waited += relayCheckInterval {
 		if err := clocker.Sleep(ctx, follower.Clock, relayCheckInterval); err != nil {
-			return 0, err
+			return Version{}, err
 		}
 		if !follower.isRelayed() {
-			return max(revision, follower.Revision()), nil
+			return latest(revision, follower.Revision()), nil
 		}
 	}
 	next, err := follower.list(ctx, follower.Store.ListStale)
-	if errors.Is(err, errStaleList) {
-		return max(revision, follower.Revision()), nil
+	if errors.Is(err, errStaleList) || errors.Is(err, errEarlierEra) {
+		return latest(revision, follower.Revision()), nil
 	}
 	return next, err
 }
--- a/internal/storer/follower_test.go
+++ b/internal/storer/follower_test.go
@@ -31,43 +31,43 @@
 
 var errDown = errors.New("the store is down")
 
-func (store *fakeStore) List(context.Context, string) ([]storer.Object, uint64, error) {
+func (store *fakeStore) List(context.Context, string) ([]storer.Object, storer.Version, error) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.calls++
 	if store.down {
-		return nil, 0, errDown
+		return nil, storer.Version{}, errDown
 	}
-	return []storer.Object{{Name: "main", Revision: store.revision}}, store.revision, nil
+	return []storer.Object{{Name: "main", Revision: store.revision}}, storer.Version{Revision: store.revision}, nil
 }
 
-func (store *fakeStore) ListStale(context.Context, string) ([]storer.Object, uint64, error) {
+func (store *fakeStore) ListStale(context.Context, string) ([]storer.Object, storer.Version, error) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	at := store.revision - store.staleBy
-	return []storer.Object{{Name: "main", Revision: at}}, at, nil
+	return []storer.Object{{Name: "main", Revision: at}}, storer.Version{Revision: at}, nil
 }
 
-func (store *fakeStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+func (store *fakeStore) Watch(ctx context.Context, _ string, after storer.Version, wait time.Duration) ([]storer.Change, storer.Version, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	store.update(func() { store.calls++ })
 	for {
 		store.mutex.Lock()
-		down, newer, revision := store.down, !store.watchSilent && store.revision > after, store.revision
+		down, newer, revision := store.down, !store.watchSilent && store.revision > after.Revision, store.revision
 		store.mutex.Unlock()
 		switch {
 		case down:
-			return nil, 0, errDown
+			return nil, storer.Version{}, errDown
 		case newer:
-			return []storer.Change{{Object: storer.Object{Name: "main", Revision: revision}}}, revision, nil
+			return []storer.Change{{Object: storer.Object{Name: "main", Revision: revision}}}, storer.Version{Revision: revision}, nil
 		}
 		select {
 		case <-store.changed:
 		case <-timer.C:
 			return nil, after, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, storer.Version{}, ctx.Err()
 		}
 	}
 }
@@ -195,10 +195,10 @@
 		store.change()
 		time.Sleep(time.Second)
 		assert.Equal(t, seen(), uint64(1))
-		follower.ObserveRevision(1)
+		follower.ObserveRevision(storer.Version{Revision: 1})
 		synctest.Wait()
 		assert.Equal(t, seen(), uint64(1), "no newer revision was observed")
-		follower.ObserveRevision(2)
+		follower.ObserveRevision(storer.Version{Revision: 2})
 		synctest.Wait()
 		assert.Equal(t, seen(), uint64(2))
 	})
@@ -250,18 +250,18 @@
 	calls atomic.Int32
 }
 
-func (store *storeWithDeletion) List(context.Context, string) ([]storer.Object, uint64, error) {
+func (store *storeWithDeletion) List(context.Context, string) ([]storer.Object, storer.Version, error) {
 	store.calls.Add(1)
-	return []storer.Object{{Name: "main", Revision: 378}}, 400, nil
+	return []storer.Object{{Name: "main", Revision: 378}}, storer.Version{Revision: 400}, nil
 }
 
-func (store *storeWithDeletion) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+func (store *storeWithDeletion) Watch(ctx context.Context, _ string, _ storer.Version, wait time.Duration) ([]storer.Change, storer.Version, error) {
 	store.calls.Add(1)
 	select {
 	case <-time.After(wait):
-		return nil, 400, nil
+		return nil, storer.Version{Revision: 400}, nil
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, storer.Version{}, ctx.Err()
 	}
 }
 
@@ -281,11 +281,11 @@
 		go func() { _ = follower.Run(ctx) }()
 		time.Sleep(time.Second)
 		for range 10 {
-			follower.ObserveRevision(388)
+			follower.ObserveRevision(storer.Version{Revision: 388})
 			time.Sleep(400 * time.Millisecond)
 		}
 		assert.Equal(t, store.calls.Load(), int32(2), "calls to the store")
-		follower.ObserveRevision(401)
+		follower.ObserveRevision(storer.Version{Revision: 401})
 		time.Sleep(400 * time.Millisecond)
 		assert.Equal(t, store.calls.Load(), int32(4), "a change after the list causes a new list")
 		stop()
--- a/internal/storer/relay_test.go
+++ b/internal/storer/relay_test.go
@@ -22,6 +22,7 @@
 type objectStore struct {
 	storer.Store
 	mutex    sync.Mutex
+	era      uint64
 	revision uint64
 	present  map[string]uint64
 	changes  []storer.Change
@@ -38,7 +39,7 @@
 	defer store.mutex.Unlock()
 	store.revision++
 	store.present[name] = store.revision
-	store.changes = append(store.changes, storer.Change{Object: storer.Object{Name: name, Revision: store.revision}})
+	store.changes = append(store.changes, storer.Change{Object: storer.Object{Name: name, Era: store.era, Revision: store.revision}})
 }
 
 func (store *objectStore) remove(name string) {
@@ -49,13 +50,13 @@
 	}
 	store.revision++
 	delete(store.present, name)
-	store.changes = append(store.changes, storer.Change{Object: storer.Object{Name: name, Revision: store.revision}, Deleted: true})
+	store.changes = append(store.changes, storer.Change{Object: storer.Object{Name: name, Era: store.era, Revision: store.revision}, Deleted: true})
 }
 
-func (store *objectStore) List(context.Context, string) ([]storer.Object, uint64, error) {
+func (store *objectStore) List(context.Context, string) ([]storer.Object, storer.Version, error) {
 	store.mutex.Lock()
 	store.calls++
-	at, slow, betweenPages := store.revision, store.slow, store.betweenPages
+	at, slow, betweenPages := storer.Version{Era: store.era, Revision: store.revision}, store.slow, store.betweenPages
 	store.betweenPages = nil
 	list := store.page(func(name string) bool { return name < "n" || betweenPages == nil })
 	if betweenPages != nil {
@@ -76,7 +77,7 @@
 	var page []storer.Object
 	for name, revision := range store.present {
 		if filter(name) {
-			page = append(page, storer.Object{Name: name, Revision: revision})
+			page = append(page, storer.Object{Name: name, Era: store.era, Revision: revision})
 		}
 	}
 	return page
@@ -88,27 +89,30 @@
 	return store.calls
 }
 
-func (store *objectStore) ListStale(ctx context.Context, kind string) ([]storer.Object, uint64, error) {
+func (store *objectStore) ListStale(ctx context.Context, kind string) ([]storer.Object, storer.Version, error) {
 	return store.List(ctx, kind)
 }
 
-func (store *objectStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+func (store *objectStore) Watch(ctx context.Context, _ string, after storer.Version, wait time.Duration) ([]storer.Change, storer.Version, error) {
 	store.mutex.Lock()
 	store.calls++
 	store.mutex.Unlock()
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if ctx.Err() != nil {
-			return nil, 0, ctx.Err()
+			return nil, storer.Version{}, ctx.Err()
 		}
 		store.mutex.Lock()
 		var changes []storer.Change
 		for _, change := range store.changes {
-			if change.Object.Revision > after {
+			if change.Object.Version().After(after) {
 				changes = append(changes, change)
 			}
 		}
-		at := store.revision
+		at := storer.Version{Era: store.era, Revision: store.revision}
 		store.mutex.Unlock()
+		if at.Era > after.Era {
+			return nil, storer.Version{}, storer.ErrEraChanged
+		}
 		if len(changes) > 0 {
 			return changes, at, nil
 		}
@@ -120,6 +124,8 @@
 type followerView struct {
 	mutex sync.Mutex
 	names map[string]uint64
+	// atRecovery is names when the end of an outage was last reported.
+	atRecovery map[string]uint64
 }
 
 func (view *followerView) get() map[string]uint64 {
@@ -139,6 +145,13 @@
 	follower := &storer.Follower{
 		Store: store, Kind: "kind", Clock: clocker.System{}, Log: slog.New(slog.DiscardHandler),
 		Relayed: func(time.Duration) bool { return relayed }, RelyingVMs: func() int { return vms },
+		OnResponse: func(_ time.Time, recovered bool) {
+			view.mutex.Lock()
+			defer view.mutex.Unlock()
+			if recovered {
+				view.atRecovery = maps.Clone(view.names)
+			}
+		},
 		OnList: func(list []storer.Object) {
 			view.mutex.Lock()
 			defer view.mutex.Unlock()
@@ -295,16 +308,16 @@
 		time.Sleep(50 * time.Millisecond)
 		store.put("main")
 		time.Sleep(50 * time.Millisecond)
-		_, _, ok := source.ChangesSince(2)
+		_, _, ok := source.ChangesSince(storer.Version{Revision: 2})
 		assert.Assert(t, !ok, "the history lacks the deletion at revision 3")
-		changes, _, ok := source.ChangesSince(3)
+		changes, _, ok := source.ChangesSince(storer.Version{Revision: 3})
 		assert.Assert(t, ok)
 		assert.Equal(t, len(changes), 1)
 		for range 3000 {
 			store.put("main")
 		}
 		time.Sleep(50 * time.Millisecond)
-		_, _, ok = source.ChangesSince(4)
+		_, _, ok = source.ChangesSince(storer.Version{Revision: 4})
 		assert.Assert(t, !ok, "more changes than the history holds")
 		stop()
 		time.Sleep(time.Second)
@@ -328,8 +341,8 @@
 		source.Relist()
 		time.Sleep(50 * time.Millisecond)
 		relayChanges(source, last)
-		assert.Equal(t, last.Revision(), uint64(1))
-		assert.Equal(t, last.CompleteRevision(), uint64(90))
+		assert.Equal(t, last.Revision(), storer.Version{Revision: 1})
+		assert.Equal(t, last.CompleteRevision(), storer.Version{Revision: 90})
 		stop()
 		time.Sleep(time.Second)
 	})
@@ -385,10 +398,10 @@
 		source, _ := store.startFollower(ctx, false)
 		time.Sleep(50 * time.Millisecond)
 		source.Apply([]storer.Change{{Object: storer.Object{Name: "main", Revision: 2, Spec: make([]byte, 600<<10)}}})
-		_, _, ok := source.ChangesSince(1)
+		_, _, ok := source.ChangesSince(storer.Version{Revision: 1})
 		assert.Assert(t, !ok)
 		source.Apply([]storer.Change{{Object: storer.Object{Name: "main", Revision: 3, Spec: make([]byte, 1000)}}})
-		changes, _, ok := source.ChangesSince(2)
+		changes, _, ok := source.ChangesSince(storer.Version{Revision: 2})
 		assert.Assert(t, ok && len(changes) == 1)
 		stop()
 		time.Sleep(time.Second)
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -11,16 +11,21 @@
 )
 
 // Object is a versioned object in the store. Spec and Status are JSON. Each change in
-// the store has a higher revision than the ones before.
+// the store has a higher revision than the ones before in the same era.
 type Object struct {
 	Kind     string
 	Name     string
 	Revision uint64
+	// Era is that of the store when the object was read, see Version.
+	Era      uint64
 	Deleting bool
 	Spec     json.RawMessage
 	Status   json.RawMessage
 }
 
+// Version returns the version of the object.
+func (object Object) Version() Version { return Version{Era: object.Era, Revision: object.Revision} }
+
 // Change is an event of a watch: an object was created, updated or deleted.
 type Change struct {
 	Object  Object
@@ -49,19 +54,22 @@
 
 // Store is the object store of the platform.
 type Store interface {
-	// List returns all objects of the kind and the revision of the store.
-	List(ctx context.Context, kind string) ([]Object, uint64, error)
+	// List returns all objects of the kind and the version of the store.
+	List(ctx context.Context, kind string) ([]Object, Version, error)
 	// ListStale is like List but costs less, and its data may be seconds old.
-	ListStale(ctx context.Context, kind string) ([]Object, uint64, error)
+	ListStale(ctx context.Context, kind string) ([]Object, Version, error)
 	// Watch blocks for up to wait until objects of the kind have changed after the
-	// given revision. It returns the changes and the revision to continue from.
-	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Change, uint64, error)
-	// Get returns one object.
+	// given version. It returns the changes and the version to continue from, or
+	// ErrEraChanged if the store is in a later era than that version.
+	Watch(ctx context.Context, kind string, after Version, wait time.Duration) ([]Change, Version, error)
+	// Get returns one object. With ErrNotFound, the returned object has the store's era.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// Create creates an object that must not exist yet.
 	Create(ctx context.Context, kind, name string, spec any) (Object, error)
-	// Replace replaces the spec of an object that must have the given revision.
-	Replace(ctx context.Context, kind, name string, revision uint64, spec any) (Object, error)
-	// Delete deletes an object that must have the given revision.
-	Delete(ctx context.Context, kind, name string, revision uint64) error
+	// Replace replaces the spec of an object that must have the given version. It returns
+	// ErrEraChanged if the store is in a later era.
+	Replace(ctx context.Context, kind, name string, version Version, spec any) (Object, error)
+	// Delete deletes an object that must have the given version. It returns ErrEraChanged
+	// if the store is in a later era.
+	Delete(ctx context.Context, kind, name string, version Version) error
 }
