Keep one owner of each key when the store is restored from an old copy

A restored ledger or claim was taken for the newest one: a broker that took over granted keys to owners from which lost records had moved them, and a broker that led wrote against reused revisions, or gave way to the one that the old claim named. Claims and ledgers now name the era in which they were written. A broker that leads writes its claim again and only renews grants until it has settled the ledger in the new era, at once if all VMs confirm that nobody has followed it, otherwise after all grants that lost records may have allowed. A broker that starts with a restored ledger waits for these too, and gives all keys tokens above any that the lost records can have.

--- a/internal/allocator/acquire.go
+++ b/internal/allocator/acquire.go
@@ -81,7 +81,7 @@
 		Service: service.name, RequestID: request.ID, Zone: request.Zone, Key: request.Key, Rank: request.Rank, BodyBytes: request.BodyBytes,
 		Retry: request.Retry, Exclude: request.Exclude, Target: request.Target, Timeout: request.Timeout, Fingerprint: request.Fingerprint,
 	}, &answer)
-	if err == nil && answer.NotBroker && answer.Broker != "" && service.adoptBroker(answer.Broker, answer.Term) {
+	if err == nil && answer.NotBroker && answer.Broker != "" && service.adoptBroker(answer.Broker, answer.Term, answer.Era) {
 		if answer.Broker != allocator.VM && allocator.isReachable(answer.Broker) {
 			return allocator.acquireFromBroker(ctx, service, answer.Broker, request)
 		}
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -59,6 +59,8 @@
 	// Followers receive the changes in the store that brokers relay, and learn from the
 	// revisions of other VMs when they are behind. Their order is the same on all VMs.
 	Followers []*storer.Follower
+	// OnEra, if set, is called whenever this VM learns of a later era of the store.
+	OnEra func(era uint64)
 
 	// notices are what upstreams have said of themselves in responses to this VM, or, if they
 	// are leaving, to VMs that have told this one.
@@ -79,6 +81,9 @@
 	polling       bool              // what ShouldPoll reported last
 	peers         map[string]*peer
 	stopping      bool
+	startedAt     time.Time
+	era           uint64           // the latest one of the store that this VM knows
+	claimFollower *storer.Follower // also if it is not one of Followers
 	// claimReadsFailingSince is when reads of this VM's own claims began to fail; zero
 	// while they succeed.
 	claimReadsFailingSince time.Time
@@ -159,6 +164,7 @@
 // first link is opened.
 func (allocator *Allocator) Init(server linker.Registrar) {
 	allocator.notices.Clock = allocator.Clock
+	allocator.startedAt = allocator.Clock.Now()
 	allocator.services = map[string]*service{}
 	allocator.claims = map[string]storedClaim{}
 	allocator.peers = map[string]*peer{}
--- a/internal/allocator/authority.go
+++ b/internal/allocator/authority.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cuminstream/cuminstream/internal/keeper"
+	"github.com/cuminstream/cuminstream/internal/storer"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
@@ -92,7 +94,8 @@
 }
 
 // verifyClaim reads the service's claim from the store, records the time if the claim is
-// unchanged, and applies it.
+// unchanged, and applies it. After a restore of the store, an unchanged claim proves that
+// there is no other broker only once the ledger is settled.
 func (service *service) verifyClaim(ctx context.Context) {
 	allocator := service.allocator
 	began := allocator.Clock.Now()
@@ -102,7 +105,9 @@
 	service.mutex.Lock()
 	service.verifying = false
 	service.mutex.Unlock()
-	allocator.recordClaimRead(err == nil, began)
+	allocator.observeEra(object.Era)
+	isLost := errors.Is(err, storer.ErrNotFound) && object.Era > 0 // by a restore: it is written again
+	allocator.recordClaimRead(err == nil || isLost, began)
 	if err != nil {
 		if ctx.Err() == nil {
 			allocator.Log.Info("failed to read own claim", "service", service.name, "error", err.Error())
@@ -114,8 +119,9 @@
 		allocator.Log.Warn("invalid claim", "service", service.name, "error", err.Error())
 		return
 	}
+	settled := service.settledIn(object.Era)
 	service.mutex.Lock()
-	if claim.Claim == service.claim.Claim {
+	if claim.Claim == service.claim.Claim && settled {
 		service.verifiedAt = began
 	}
 	service.mutex.Unlock()
--- a/internal/allocator/calls.go
+++ b/internal/allocator/calls.go
@@ -19,7 +19,10 @@
 	}
 	if !service.isBroker() {
 		vm, term := service.brokerVM()
-		return acquireAnswer{NotBroker: true, Broker: vm, Term: term}, nil
+		service.mutex.Lock()
+		era := service.claim.Era
+		service.mutex.Unlock()
+		return acquireAnswer{NotBroker: true, Broker: vm, Term: term, Era: era}, nil
 	}
 	_, term := service.brokerVM()
 	decision := service.broker.Acquire(ctx, broker.Request{
@@ -62,6 +65,7 @@
 	allocator.mutex.Lock()
 	allocator.peer(from).lastHeard = allocator.Clock.Now()
 	allocator.mutex.Unlock()
+	allocator.observeEra(message.Era)
 	allocator.observeVersions(decodeVersions(message.NewestRevisions, message.NewestEras))
 	changes, completeTo := allocator.changesAfter(decodeVersions(message.CompleteRevisions, message.CompleteEras))
 	answer := reportAnswer{
@@ -70,7 +74,12 @@
 	}
 	answer.NewestRevisions, answer.NewestEras = encodeVersions(allocator.newestVersions())
 	answer.CompleteTo, answer.CompleteToEras = encodeVersions(completeTo)
+	if era := allocator.storeEra(); era > 0 {
+		answer.Era, answer.Known = era, allocator.knownRecords()
+	}
 	for _, service := range allocator.allServices() {
+		service.learn(from, message.Known[service.name])
+		service.recordConfirmation(from, message)
 		if term, ok := service.ledTerm(); ok {
 			answer.LedTerms[service.name] = term
 		}
@@ -91,7 +100,7 @@
 	}
 	var answer stepDownAnswer
 	if service := allocator.service(message.Service); service != nil {
-		answer.StaleRenewal = service.stepDown(from, message.Term)
+		answer.StaleRenewal = service.stepDown(from, message.Term, message.Era)
 	}
 	return answer, nil
 }
--- a/internal/allocator/lead.go
+++ b/internal/allocator/lead.go
@@ -57,7 +57,7 @@
 
 // NewClaimFollower returns a follower of the claims in the store.
 func (allocator *Allocator) NewClaimFollower() *storer.Follower {
-	return &storer.Follower{
+	created := &storer.Follower{
 		Store: allocator.Store, Kind: KindBrokers, Clock: allocator.Clock, Log: allocator.Log, WatchDelay: func() time.Duration { return claimBatchDelay },
 		Relayed: allocator.claimsRelayed,
 		OnList: func(objects []storer.Object) {
@@ -73,6 +73,10 @@
 			}
 		},
 	}
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	allocator.claimFollower = created
+	return created
 }
 
 // handleClaim records a claim read from the store and applies it to its service.
@@ -82,6 +86,7 @@
 		allocator.Log.Warn("invalid claim", "service", object.Name, "revision", object.Revision, "error", err.Error())
 		return
 	}
+	allocator.observeEra(object.Era)
 	allocator.mutex.Lock()
 	if len(allocator.claims) == 0 {
 		allocator.claimsSince = allocator.Clock.Now()
@@ -107,8 +112,10 @@
 		service.claimSeenAt, service.vacantSince = service.allocator.Clock.Now(), time.Time{}
 		service.allocator.Log.Info("broker changed", "service", service.name, "broker", claim.Broker, "term", claim.Term, "revision", claim.version)
 	}
-	if claim.Term < service.claim.Term {
-		// Another VM has reported a later broker, whose claim has not arrived yet.
+	service.known.Term = max(service.known.Term, claim.Term)
+	if claim.precedes(service.claim.Claim) {
+		// Another VM has reported a later broker, whose claim has not arrived yet, or the
+		// store was restored from a copy without that claim.
 		claim.Claim = service.claim.Claim
 	}
 	service.claim = claim
@@ -180,6 +187,7 @@
 // checkBrokers takes over services that have no broker or whose broker is lost, and
 // starts the other work that is due for a service.
 func (allocator *Allocator) checkBrokers(ctx context.Context) {
+	allocator.observeFollowers()
 	allocator.beginPolling()
 	vms := len(allocator.Members.VMs())
 	for _, service := range allocator.allServices() {
@@ -198,6 +206,12 @@
 				return nil
 			})
 		}
+		if service.beginRewrite() {
+			allocator.tasks.Go(func() error {
+				service.rewrite(ctx)
+				return nil
+			})
+		}
 		if former, ok := service.beginClaim(); ok {
 			allocator.tasks.Go(func() error {
 				service.takeOver(ctx, former)
@@ -226,6 +240,7 @@
 		disclaimed = lostSince.IsZero() && peer.answeredAt.After(since.Add(reportInterval)) && !peer.answeredAt.IsZero() && (!ok || ledTerm < term || peer.storeLostFor > storeLossTimeout) && now().Sub(peer.answeredAt) < silenceTimeout
 	}
 	allocator.mutex.Unlock()
+	era := allocator.storeEra()
 	if allocator.storeLostFor() > 0 {
 		return former, false // the claim could not be written
 	}
@@ -247,6 +262,9 @@
 	if service.claim.version.IsZero() {
 		delay += initialClaimDelay
 	}
+	if service.claim.isRestored(era) {
+		delay += restoredClaimDelay
+	}
 	if now().Before(service.vacantSince.Add(delay)) {
 		return former, false
 	}
@@ -308,8 +326,18 @@
 	if former.Broker != "" && former.Broker != allocator.VM && !allocator.isReachable(former.Broker) && allocator.reachableByOthers(ctx, former.Broker) {
 		return
 	}
-	inherited, ended := service.probeFormerBroker(ctx, former)
-	next := Claim{Broker: allocator.VM, BootID: allocator.BootID, Term: former.Term + 1, StaleRenewalMs: inherited.Milliseconds()}
+	former, restored, ok := service.restoredFormer(ctx, former)
+	if !ok {
+		return
+	}
+	inherited, ended := staleRenewalWindow, false // brokers that nobody knows may renew as long
+	if !restored {
+		inherited, ended = service.probeFormerBroker(ctx, former)
+	}
+	next := Claim{Broker: allocator.VM, BootID: allocator.BootID, Term: service.nextTerm(former), Era: former.version.Era, StaleRenewalMs: inherited.Milliseconds()}
+	if former.version.IsZero() {
+		next.Era = allocator.storeEra()
+	}
 	version, ok := service.writeClaim(ctx, former, next)
 	if !ok {
 		return
@@ -317,10 +345,13 @@
 	service.setPendingTerm(next.Term)
 	defer service.setPendingTerm(0)
 	stale := inherited
-	if !ended {
-		stale, ended = service.demoteFormerBroker(ctx, former.Broker, next.Term)
+	if !ended && former.Broker != "" && former.Broker != allocator.VM {
+		stale, ended = service.demoteFormerBroker(ctx, former.Broker, next)
+	}
+	if restored {
+		stale, ended = staleRenewalWindow, true // nothing proves an end of others
 	}
-	service.becomeBroker(storedClaim{next, version}, stale)
+	service.becomeBroker(storedClaim{next, version}, stale, former.Term > 0)
 	if !ended {
 		service.awaitFormerRestart(former, next.Term)
 	}
@@ -334,40 +365,9 @@
 	service.pendingTerm = term
 }
 
-// writeClaim replaces the former claim in the store. If the outcome of the write is
-// unknown, it reads the claim back, because the write may have taken effect.
-func (service *service) writeClaim(ctx context.Context, former storedClaim, next Claim) (version storer.Version, ok bool) {
-	allocator := service.allocator
-	var object storer.Object
-	var err error
-	if former.version.IsZero() {
-		object, err = allocator.Store.Create(ctx, KindBrokers, service.name, next)
-	} else {
-		object, err = allocator.Store.Replace(ctx, KindBrokers, service.name, former.version, next)
-	}
-	if err == nil {
-		return object.Version(), true
-	}
-	if storer.HasCurrentObject(object, err) {
-		err = nil
-	} else if !errors.Is(err, storer.ErrRefused) {
-		object, err = allocator.Store.Get(ctx, KindBrokers, service.name)
-	}
-	if err != nil {
-		allocator.Log.Info("failed to write claim", "service", service.name, "error", err.Error())
-		return storer.Version{}, false
-	}
-	stored, err := decodeClaim(object)
-	if err == nil && stored.Claim == next {
-		return object.Version(), true
-	}
-	allocator.handleClaim(object)
-	return storer.Version{}, false
-}
-
 // becomeBroker starts this process's term as broker. Earlier brokers may still renew
-// grants for the given time.
-func (service *service) becomeBroker(claim storedClaim, stale time.Duration) {
+// grants for the given time. hadBroker is set if the service had one.
+func (service *service) becomeBroker(claim storedClaim, stale time.Duration, hadBroker bool) {
 	allocator := service.allocator
 	allocator.mutex.Lock()
 	ctx, upstreams, tunables := allocator.ctx, allocator.upstreams, allocator.tunables
@@ -376,11 +376,13 @@
 	service.broker.SetRetryBudget(budgeter.New(allocator.Clock, tunables.retryWindow, tunables.retryRatio*brokerRetryShare, int(float64(tunables.retrySlack)*brokerRetryShare)))
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
-	if service.claim.Term > claim.Term {
+	if claim.precedes(service.claim.Claim) {
 		return // replaced before the term started
 	}
 	service.claim, service.claimSeenAt, service.leading = claim, allocator.Clock.Now(), true
 	service.verifiedAt, service.acknowledgedAt = allocator.Clock.Now(), map[string]time.Time{}
+	service.claimedAt, service.claimedIn, service.confirmed = service.verifiedAt, claim.Era, map[string]confirmation{}
+	service.known.Term = max(service.known.Term, claim.Term)
 	for _, follower := range allocator.Followers {
 		follower.Relist()
 	}
@@ -391,7 +393,7 @@
 	created := &keeper.Keeper{
 		Service: service.name, BootID: allocator.BootID, Term: claim.Term, Clock: allocator.Clock, Store: allocator.Store,
 		Granter: allocator.Granter, Broker: service.broker, Log: allocator.Log, MaxGrantTTL: tunables.maxGrantTTL, StaleRenewals: stale,
-		OnLedgerWritten: service.setLedger, Authority: service,
+		OnLedgerWritten: service.setLedger, Authority: service, RestoredRenewals: staleRenewalWindow, AfterRestore: hadBroker, Known: service.ledger,
 	}
 	created.Init()
 	created.SetUpstreams(upstreams)
--- a/internal/allocator/ledger.go
+++ b/internal/allocator/ledger.go
@@ -53,6 +53,7 @@
 func (service *service) setLedger(ledger *keeper.Ledger) {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
+	service.known.LastFence, service.known.Writes = max(service.known.LastFence, ledger.LastFence), max(service.known.Writes, ledger.Writes)
 	if service.ledger == nil || ledger.Writes >= service.ledger.Writes {
 		service.ledger = ledger
 	}
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -48,6 +48,8 @@
 	Slots       int                  `cbor:"11,keyasint,omitempty"`
 	// Broker is the VM that is the broker in Term, if NotBroker is set.
 	Broker string `cbor:"12,keyasint,omitempty"`
+	// Era is the era of the claim of that broker.
+	Era uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // releaseMessage releases a slot and reports how its use ended.
@@ -82,6 +84,11 @@
 	// BrokerTerms are the terms, by service, in which the VM acknowledges the receiver as
 	// the broker.
 	BrokerTerms map[string]uint64 `cbor:"3,keyasint,omitempty"`
+	// Era is the era of the store that the VM knows, Known what it knows of each service,
+	// and Uptime for how long its process has run. They are absent in era 0.
+	Era    uint64                  `cbor:"8,keyasint,omitempty"`
+	Known  map[string]knownRecords `cbor:"9,keyasint,omitempty"`
+	Uptime time.Duration           `cbor:"10,keyasint,omitempty"`
 }
 
 // reportAnswer is the answer of a broker to a report.
@@ -100,6 +107,9 @@
 	// A change has the era of the revision to which it is complete.
 	NewestEras     []uint64 `cbor:"9,keyasint,omitempty"`
 	CompleteToEras []uint64 `cbor:"10,keyasint,omitempty"`
+	// Era and Known are as in a report.
+	Era   uint64                  `cbor:"11,keyasint,omitempty"`
+	Known map[string]knownRecords `cbor:"12,keyasint,omitempty"`
 	// ListAge is the age of the broker's lists of the store if the broker polls it;
 	// otherwise 0.
 	ListAge time.Duration `cbor:"6,keyasint,omitempty"`
@@ -125,6 +135,8 @@
 type stepDownMessage struct {
 	Service string `cbor:"1,keyasint"`
 	Term    uint64 `cbor:"2,keyasint"`
+	// Era is that of the claim of the VM in the term.
+	Era uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // stepDownAnswer confirms that the VM grants no more keys of the service.
--- a/internal/allocator/replace.go
+++ b/internal/allocator/replace.go
@@ -35,13 +35,13 @@
 
 // demoteFormerBroker notifies the former broker that it is replaced, and returns for how
 // long that broker or earlier ones may still renew grants. ok is set if it answered.
-func (service *service) demoteFormerBroker(ctx context.Context, vm string, term uint64) (stale time.Duration, ok bool) {
+func (service *service) demoteFormerBroker(ctx context.Context, vm string, claim Claim) (stale time.Duration, ok bool) {
 	allocator := service.allocator
 	ctx, cancel := clocker.WithTimeout(ctx, allocator.Clock, formerBrokerTimeout)
 	defer cancel()
 	var answer stepDownAnswer
-	err := allocator.Peers.Call(ctx, vm, callStepDown, stepDownMessage{Service: service.name, Term: term}, &answer)
-	allocator.Log.Info("former broker notified", "service", service.name, "formerBroker", vm, "term", term, "error", errorText(err), "exposedMs", answer.StaleRenewal.Milliseconds())
+	err := allocator.Peers.Call(ctx, vm, callStepDown, stepDownMessage{Service: service.name, Term: claim.Term, Era: claim.Era}, &answer)
+	allocator.Log.Info("former broker notified", "service", service.name, "formerBroker", vm, "term", claim.Term, "error", errorText(err), "exposedMs", answer.StaleRenewal.Milliseconds())
 	if err != nil {
 		return staleRenewalWindow, false
 	}
@@ -90,7 +90,7 @@
 	service.mutex.Lock()
 	keeper, recorded := service.keeper, service.leading && service.claim.StaleRenewalMs > 0
 	service.mutex.Unlock()
-	if !recorded || keeper == nil || keeper.StaleRenewalsLeft() > 0 {
+	if !recorded || keeper == nil || keeper.StaleRenewalsLeft() > 0 || !service.settledIn(service.allocator.storeEra()) {
 		return claim, false
 	}
 	service.mutex.Lock()
@@ -119,23 +119,26 @@
 }
 
 // adoptBroker records a broker reported by another VM whose claim has not been read yet.
-// It reports whether the term is newer than the known one.
-func (service *service) adoptBroker(vm string, term uint64) bool {
+// It reports whether that is newer than the known one.
+func (service *service) adoptBroker(vm string, term, era uint64) bool {
+	service.allocator.observeEra(era)
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
-	if service.leading || term <= service.claim.Term {
+	told := Claim{Broker: vm, Term: term, Era: era}
+	if service.leading || !service.claim.precedes(told) {
 		return false
 	}
-	service.claim.Claim, service.claimSeenAt = Claim{Broker: vm, Term: term}, service.allocator.Clock.Now()
+	service.claim.Claim, service.claimSeenAt = told, service.allocator.Clock.Now()
+	service.known.Term = max(service.known.Term, term)
 	service.allocator.Log.Info("broker changed", "service", service.name, "broker", vm, "term", term, "toldByVM", true)
 	return true
 }
 
 // stepDown ends this process's work as broker because another VM leads in the given,
-// later term. It returns for how long brokers before this process may still renew grants.
-func (service *service) stepDown(by string, term uint64) time.Duration {
+// later term or era. It returns for how long brokers before this process may still renew grants.
+func (service *service) stepDown(by string, term, era uint64) time.Duration {
 	service.mutex.Lock()
-	if service.claim.Term >= term {
+	if !service.claim.precedes(Claim{Term: term, Era: era}) {
 		service.mutex.Unlock()
 		return staleRenewalWindow
 	}
@@ -143,7 +146,7 @@
 	service.leading = false
 	service.mutex.Unlock()
 	stale := service.stopGranting()
-	service.adoptBroker(by, term)
+	service.adoptBroker(by, term, era)
 	if !wasLeading {
 		return stale
 	}
@@ -173,5 +176,8 @@
 	if keeper == nil {
 		return 0 // this process has granted nothing
 	}
+	if _, settled := keeper.SettledEra(); !settled {
+		return staleRenewalWindow // by brokers whose claims were lost in a restore of the store
+	}
 	return keeper.StaleRenewalsLeft()
 }
--- a/internal/allocator/report.go
+++ b/internal/allocator/report.go
@@ -43,6 +43,9 @@
 		}
 		allocator.tasks.Go(func() error {
 			message := reportMessage{ForeignSlots: counts, BrokerTerms: brokerTerms[vm]}
+			if era := allocator.storeEra(); era > 0 {
+				message.Era, message.Known, message.Uptime = era, allocator.knownRecords(), allocator.Clock.Now().Sub(allocator.startedAt)
+			}
 			message.NewestRevisions, message.NewestEras = encodeVersions(allocator.newestVersions())
 			message.CompleteRevisions, message.CompleteEras = encodeVersions(allocator.completeVersions())
 			allocator.sendReport(ctx, vm, message)
@@ -71,6 +74,12 @@
 		peer.lostSince = now
 	}
 	allocator.mutex.Unlock()
+	allocator.observeEra(answer.Era)
+	for name, records := range answer.Known {
+		if service := allocator.service(name); service != nil {
+			service.learn(vm, records)
+		}
+	}
 	allocator.applyRelayedChanges(answer)
 	if err == nil && answer.StoreLostFor == 0 {
 		allocator.mutex.Lock()
--- a/internal/allocator/resign.go
+++ b/internal/allocator/resign.go
@@ -76,7 +76,7 @@
 	service.mutex.Unlock()
 	ctx, cancel := clocker.WithTimeout(context.Background(), allocator.Clock, time.Second)
 	defer cancel()
-	vacant := Claim{BootID: allocator.BootID, Term: claim.Term, StaleRenewalMs: stale.Milliseconds()}
+	vacant := Claim{BootID: allocator.BootID, Term: claim.Term, Era: claim.Era, StaleRenewalMs: stale.Milliseconds()}
 	version, ok := service.writeClaim(ctx, claim, vacant)
 	if !ok {
 		allocator.Log.Warn("failed to write resignation as broker", "service", service.name, "term", claim.Term)
--- a/internal/allocator/service.go
+++ b/internal/allocator/service.go
@@ -44,6 +44,13 @@
 	verifiedAt     time.Time
 	verifying      bool
 	acknowledgedAt map[string]time.Time
+	// claimedAt is when this process wrote its claim in the era claimedIn, and confirmed
+	// what other VMs have confirmed to it as the broker.
+	claimedAt time.Time
+	claimedIn uint64
+	confirmed map[string]confirmation
+	// known holds the highest values that this VM has read or heard of.
+	known knownRecords
 	// vacantSince is since when the service has had no broker, as far as this VM knows.
 	vacantSince time.Time
 }
--- a/internal/allocator/system_test.go
+++ b/internal/allocator/system_test.go
@@ -37,6 +37,7 @@
 	writes    int                // of objects by VMs
 	cpuShares map[string]float64 // in cores, by VM
 
+	holdings    *holdings               // checks grants, if not nil
 	granted     [broker.KeyCount]string // the upstream that got the last grant, by key
 	unreachable string                  // the upstream that answers no release
 
@@ -167,6 +168,7 @@
 	var objects []storer.Object
 	for key, object := range store.vm.system.objects {
 		if key == kind+"/"+object.Name {
+			object.Era = store.vm.system.era
 			objects = append(objects, object)
 		}
 	}
@@ -210,6 +212,7 @@
 	if !ok {
 		return storer.Object{Era: store.vm.system.era}, storer.ErrNotFound
 	}
+	object.Era = store.vm.system.era
 	return object, nil
 }
 
@@ -258,15 +261,16 @@
 	for key := grant.Keys.From; key <= grant.Keys.To; key++ {
 		granter.system.granted[key] = owner.ID
 	}
-	return nil
+	return granter.system.holdings.grant(owner, grant)
 }
 
-func (granter granter) Release(_ context.Context, owner keeper.Owner, _ keeper.Range, _ uint64) (string, error) {
+func (granter granter) Release(_ context.Context, owner keeper.Owner, keys keeper.Range, fence uint64) (string, error) {
 	granter.system.mutex.Lock()
 	defer granter.system.mutex.Unlock()
 	if granter.system.unreachable == owner.ID {
 		return "", errUnreachable
 	}
+	granter.system.holdings.release(owner, keys, fence)
 	return "token", nil
 }
 
--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,7 @@
 
 	upstreams map[string]*fakeUpstream // by address
 	objects   map[string]storer.Object
+	era       uint64 // of the store
 	revision  uint64
 	storeDown bool
 	// maxTTL is the longest lifetime of a grant that upstreams accept; 0 for no limit.
@@ -230,6 +232,7 @@
 type fakeStore struct {
 	storer.Store
 	cluster *cluster
+	cutOff  *atomic.Bool // the broker does not reach the store
 }
 
 // begin delays a call and fails it if the store is down.
@@ -237,7 +240,7 @@
 	time.Sleep(4 * time.Millisecond)
 	store.cluster.mutex.Lock()
 	defer store.cluster.mutex.Unlock()
-	if store.cluster.storeDown {
+	if store.cluster.storeDown || store.cutOff.Load() {
 		return errCallFailed
 	}
 	return nil
@@ -260,16 +263,32 @@
 	defer store.cluster.mutex.Unlock()
 	object, ok := store.cluster.objects[name]
 	if !ok {
-		return storer.Object{}, storer.ErrNotFound
+		return storer.Object{Era: store.cluster.era}, storer.ErrNotFound
 	}
+	object.Era = store.cluster.era
 	return store.failSome(object)
 }
 
-func (store fakeStore) Create(ctx context.Context, kind, name string, spec any) (storer.Object, error) {
-	return store.Replace(ctx, kind, name, storer.Version{}, spec)
+func (store fakeStore) Create(_ context.Context, _, name string, spec any) (storer.Object, error) {
+	return store.write(name, 0, spec)
 }
 
 func (store fakeStore) Replace(_ context.Context, _, name string, version storer.Version, spec any) (storer.Object, error) {
+	store.cluster.mutex.Lock()
+	changed := version.Era < store.cluster.era
+	store.cluster.mutex.Unlock()
+	if changed {
+		return storer.Object{}, storer.ErrEraChanged
+	}
+	object, err := store.write(name, version.Revision, spec)
+	if err == nil && object.Era != version.Era {
+		err = storer.ErrEraChanged
+	}
+	return object, err
+}
+
+// write writes an object that must have the given revision.
+func (store fakeStore) write(name string, revision uint64, spec any) (storer.Object, error) {
 	if err := store.begin(); err != nil {
 		return storer.Object{}, err
 	}
@@ -279,18 +298,22 @@
 	}
 	store.cluster.mutex.Lock()
 	defer store.cluster.mutex.Unlock()
-	if store.cluster.objects[name].Revision != version.Revision {
+	if store.cluster.objects[name].Revision != revision {
 		return storer.Object{}, storer.ErrConflict
 	}
 	store.cluster.revision++
-	object := storer.Object{Name: name, Revision: store.cluster.revision, Spec: data}
+	object := storer.Object{Name: name, Era: store.cluster.era, Revision: store.cluster.revision, Spec: data}
 	store.cluster.objects[name] = object
 	return store.failSome(object)
 }
 
 // fakeAuthority is the authority of one broker.
 type fakeAuthority struct {
+	cluster      *cluster
 	mutex        sync.Mutex
+	era          uint64
+	claimedAt    time.Time // in this era
+	disputed     bool      // not all VMs have confirmed this broker in this era
 	renewUntil   time.Time // until when grants may be renewed; zero for no limit
 	relyOnExpiry bool
 }
@@ -303,6 +326,19 @@
 
 func (authority *fakeAuthority) MayRelyOnExpiry() bool { return authority.relyOnExpiry }
 
+// Era implements keeper.Authority. The broker writes its claim as soon as it knows the era.
+func (authority *fakeAuthority) Era() keeper.EraStatus {
+	authority.cluster.mutex.Lock()
+	era := authority.cluster.era
+	authority.cluster.mutex.Unlock()
+	authority.mutex.Lock()
+	defer authority.mutex.Unlock()
+	if era > authority.era || authority.claimedAt.IsZero() {
+		authority.era, authority.claimedAt = era, time.Now()
+	}
+	return keeper.EraStatus{Era: era, ClaimedAt: authority.claimedAt, Undisputed: !authority.disputed}
+}
+
 func (authority *fakeAuthority) stopRenewalsAt(end time.Time) {
 	authority.mutex.Lock()
 	defer authority.mutex.Unlock()
@@ -314,19 +350,23 @@
 	keeper    *keeper.Keeper
 	broker    *broker.Broker
 	authority *fakeAuthority
+	cutOff    atomic.Bool // from the store
 	cancel    context.CancelFunc
 	done      chan struct{}
 }
 
+// restoredRenewals is how long brokers whose claims were lost in a restore may renew.
+const restoredRenewals = 9 * time.Second
+
 // startBroker starts a broker in the given term.
 func (cluster *cluster) startBroker(term uint64, staleRenewals time.Duration) *runningBroker {
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &runningBroker{authority: &fakeAuthority{relyOnExpiry: true}, cancel: cancel, done: make(chan struct{})}
+	started := &runningBroker{authority: &fakeAuthority{cluster: cluster, relyOnExpiry: true}, cancel: cancel, done: make(chan struct{})}
 	started.broker = &broker.Broker{Service: "quotes", Clock: clocker.System{}}
 	started.keeper = &keeper.Keeper{
-		Service: "quotes", BootID: fmt.Sprint("boot", term), Term: term, Clock: clocker.System{}, Store: fakeStore{cluster: cluster},
+		Service: "quotes", BootID: fmt.Sprint("boot", term), Term: term, Clock: clocker.System{}, Store: fakeStore{cluster: cluster, cutOff: &started.cutOff},
 		Granter: fakeGranter{cluster, term}, Broker: started.broker, Log: slog.New(slog.DiscardHandler), MaxGrantTTL: 10 * time.Second,
-		StaleRenewals: staleRenewals, Authority: started.authority,
+		StaleRenewals: staleRenewals, RestoredRenewals: restoredRenewals, Authority: started.authority,
 	}
 	started.keeper.Init()
 	started.broker.Owners = started.keeper
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -47,6 +47,8 @@
 	// ended once its longest lifetime has passed: no earlier broker can still be
 	// renewing it.
 	MayRelyOnExpiry() bool
+	// Era returns what the process knows of the era of the store.
+	Era() EraStatus
 }
 
 // Keeper assigns and grants the keys of one service while this process is its
@@ -67,6 +69,13 @@
 	// StaleRenewals is how long after the takeover of the ledger earlier brokers may
 	// go on renewing grants.
 	StaleRenewals time.Duration
+	// RestoredRenewals is how long after this process has written its claim brokers may
+	// go on renewing grants whose claims were lost in a restore of the store.
+	RestoredRenewals time.Duration
+	// AfterRestore is set if the claim of an earlier broker was restored from an old copy
+	// of the store. Known is the newest ledger that this VM has read, or nil.
+	AfterRestore bool
+	Known        *Ledger
 	// Authority is asked before grants are sent or taken to have expired.
 	Authority Authority
 	// OnLedgerWritten, if set, is called with each ledger that was read at takeover
@@ -91,6 +100,12 @@
 	replaced           bool      // another process has written the ledger
 	suspended          bool      // the authority does not allow grants to be sent
 	staleRenewalsUntil time.Time // until when earlier brokers may renew grants
+	era                uint64    // of the store, see checkEra
+	restored           bool      // the ledger taken over was restored, and is not settled yet
+	takenOverAt        time.Time // when the ledger was taken over
+	storedFence        uint64    // the highest one of a stored ledger that could not be replaced for it
+	settleDue          time.Time // when the next attempt to settle the ledger may be made
+	settlesAt          time.Time // when an unsettled ledger can be settled at the latest; zero if unknown
 	wake               chan struct{}
 	group              *errgroup.Group
 	ctx                context.Context
@@ -256,18 +271,19 @@
 }
 
 func (keeper *Keeper) planDue() bool {
-	return !keeper.writeInProgress && (keeper.upstreamsChanged || keeper.Clock.Now().Sub(keeper.plannedAt) >= planInterval)
+	return !keeper.writeInProgress && !keeper.unsettled() && (keeper.upstreamsChanged || keeper.Clock.Now().Sub(keeper.plannedAt) >= planInterval)
 }
 
 // step makes a plan and starts the grant and release calls, if they are due. The
 // mutex is held.
 func (keeper *Keeper) step(measured measurements) {
 	now := keeper.Clock.Now()
+	keeper.checkEra(now)
 	if len(measured.upstreams) > 0 && keeper.planDue() {
 		keeper.plannedAt, keeper.upstreamsChanged = now, false
 		keeper.plan(keeper.members(measured.upstreams, now), measured, now)
 	}
-	mayRenew := keeper.authorized()
+	mayRenew, unsettled := keeper.authorized(), keeper.unsettled()
 	for _, assignment := range keeper.assignments {
 		if assignment.phase == revoking && assignment.calling && keeper.previousGrantsEnded(assignment, now) {
 			assignment.calling, assignment.due = false, now // the answer to the release is no longer needed
@@ -275,6 +291,9 @@
 		if assignment.calling || now.Before(assignment.due) || assignment.owner == nil {
 			continue
 		}
+		if unsettled && (keeper.restored || assignment.phase == granting) {
+			continue // others may hold the keys under lost records
+		}
 		if assignment.phase == revoking {
 			keeper.revoke(assignment, now)
 			continue
@@ -351,13 +370,19 @@
 		ownership.Held = now.Add(minRemainingTTL).Before(assignment.earliestExpiry)
 		ownership.Pending = assignment.failures < 3
 	case granting:
-		ownership.Pending = assignment.failures < 3
+		ownership.Pending = assignment.failures < 3 && !keeper.waitsLong(now)
 	case revoking:
 		ownership.Pending = assignment.calling || assignment.released || assignment.previous.latestExpiry.Sub(now) < maxOwnerWait
 	}
 	return ownership
 }
 
+// waitsLong reports whether keys that nobody holds must wait for so long for the ledger to
+// be settled that no requests are queued for them.
+func (keeper *Keeper) waitsLong(now time.Time) bool {
+	return keeper.unsettled() && (keeper.settlesAt.IsZero() || keeper.settlesAt.Sub(now) >= maxOwnerWait)
+}
+
 // addressReused reports whether another upstream has started at the owner's address.
 // This proves that the owner has ended: the platform reassigns an address only after
 // its upstream has ended. An entry of another writer can name the address of a running
--- a/internal/keeper/ledger.go
+++ b/internal/keeper/ledger.go
@@ -19,9 +19,12 @@
 	// Writes is the number of the write, which increases with each ledger.
 	Writes uint64 `json:"writes"`
 	// LastFence is the highest fencing token ever recorded.
-	LastFence uint64  `json:"lastFence"`
-	Owners    []Owner `json:"owners,omitempty"`
-	Shares    []Share `json:"shares,omitempty"`
+	LastFence uint64 `json:"lastFence"`
+	// Era is the era of the store in which the ledger holds all grants that may be in
+	// force. In a store of a later era, the ledger was restored from an old copy.
+	Era    uint64  `json:"era,omitempty"`
+	Owners []Owner `json:"owners,omitempty"`
+	Shares []Share `json:"shares,omitempty"`
 }
 
 // Owner is one incarnation of an upstream: after a restart it is another owner.
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -105,7 +105,7 @@
 // raiseFence writes a ledger with a higher fencing token for the assignment, because
 // its owner has seen a higher one.
 func (keeper *Keeper) raiseFence(assignment *assignment) {
-	if keeper.writeInProgress || assignment.owner == nil || !slices.Contains(keeper.assignments, assignment) {
+	if keeper.writeInProgress || keeper.unsettled() || assignment.owner == nil || !slices.Contains(keeper.assignments, assignment) {
 		return
 	}
 	next := slices.Clone(keeper.assignments)
@@ -273,22 +273,27 @@
 		stored, err := keeper.storeLedger(next, version)
 		keeper.mutex.Lock()
 		defer keeper.mutex.Unlock()
-		keeper.writeInProgress = false
-		keeper.plannedAt = keeper.Clock.Now()
-		switch {
-		case err == nil:
-			keeper.apply(change, next, stored)
-		case errors.Is(err, ErrReplaced):
-			keeper.replaced = true
-			keeper.Log.Warn("ledger taken over by another process", "service", keeper.Service, "term", keeper.ledger.Term, "error", err.Error())
-		default:
-			keeper.Log.Warn("ledger write failed", "service", keeper.Service, "writes", next.Writes, "error", err.Error())
-		}
-		keeper.signal()
+		keeper.endWrite(change, next, stored, err)
 		return nil
 	})
 }
 
+// endWrite applies the change if the ledger was written. The mutex is held.
+func (keeper *Keeper) endWrite(change change, next *Ledger, stored storer.Version, err error) {
+	keeper.writeInProgress = false
+	keeper.plannedAt = keeper.Clock.Now()
+	switch {
+	case err == nil:
+		keeper.apply(change, next, stored)
+	case errors.Is(err, ErrReplaced):
+		keeper.replaced = true
+		keeper.Log.Warn("ledger taken over by another process", "service", keeper.Service, "term", keeper.ledger.Term, "error", err.Error())
+	default:
+		keeper.Log.Warn("ledger write failed", "service", keeper.Service, "writes", next.Writes, "error", err.Error())
+	}
+	keeper.signal()
+}
+
 // storeLedger replaces the ledger of the given version in the store and returns the
 // new version. After an attempt whose outcome is unknown it reads the ledger back,
 // because the write may have taken effect.
@@ -304,6 +309,9 @@
 			object, err = keeper.Store.Get(keeper.ctx, KindLedgers, keeper.Service)
 			if err != nil {
 				last = errors.Join(last, err)
+			} else if object.Era != version.Era {
+				// The change was derived from a ledger that has to be settled first.
+				return storer.Version{}, errors.Join(last, storer.ErrEraChanged)
 			} else if stored, err := DecodeLedger(object.Spec); err != nil {
 				last = errors.Join(last, err)
 			} else {
--- a/internal/keeper/takeover.go
+++ b/internal/keeper/takeover.go
@@ -30,39 +30,36 @@
 // there is none, and returns ErrReplaced if the ledger has a later term.
 func (keeper *Keeper) tryTakeOver(ctx context.Context) error {
 	object, err := keeper.Store.Get(ctx, KindLedgers, keeper.Service)
-	if errors.Is(err, storer.ErrNotFound) {
-		created := (&Ledger{Service: keeper.Service}).WithWriter(keeper.BootID, keeper.Term)
-		object, err = keeper.Store.Create(ctx, KindLedgers, keeper.Service, created)
-		if err != nil {
-			return err
-		}
-		keeper.restore(created, object.Version())
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	stored, err := DecodeLedger(object.Spec)
-	if err != nil {
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return err
 	}
-	if stored.Term > keeper.Term {
-		return fmt.Errorf("%w: the ledger has term %d", ErrReplaced, stored.Term)
+	version := object.Version()
+	var stored *Ledger
+	if err == nil {
+		if stored, err = DecodeLedger(object.Spec); err != nil {
+			return err
+		}
+		if stored.Term > keeper.Term {
+			return fmt.Errorf("%w: the ledger has term %d", ErrReplaced, stored.Term)
+		}
 	}
-	if stored.BootID != keeper.BootID || stored.Term != keeper.Term {
-		next := stored.WithWriter(keeper.BootID, keeper.Term)
-		object, err = keeper.Store.Replace(ctx, KindLedgers, keeper.Service, object.Version(), next)
-		if err != nil {
+	ledger, restored := keeper.baseLedger(stored, object.Era)
+	if stored == nil || stored.BootID != keeper.BootID || stored.Term != keeper.Term {
+		if ledger, version, err = keeper.takeLedger(ctx, ledger, version); err != nil {
 			return err
 		}
-		stored = next
 	}
-	keeper.restore(stored, object.Version())
+	if version.Era != object.Era {
+		return storer.ErrEraChanged
+	}
+	keeper.restore(ledger, version, restored)
 	return nil
 }
 
-// restore sets the assignments from the shares of the ledger.
-func (keeper *Keeper) restore(ledger *Ledger, version storer.Version) {
+// restore sets the assignments from the shares of the ledger. If the store was restored
+// from an old copy since the ledger was settled, no keys are granted until it is settled
+// again.
+func (keeper *Keeper) restore(ledger *Ledger, version storer.Version, restored bool) {
 	for _, owner := range ledger.Owners {
 		if owner.ServiceTimeMs > 0 {
 			keeper.Broker.SetExpectedServiceTime(owner.ID, owner.StartedAt, time.Duration(owner.ServiceTimeMs)*time.Millisecond)
@@ -70,7 +67,12 @@
 	}
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	keeper.ledger, keeper.version = ledger, version
+	keeper.ledger, keeper.version, keeper.era, keeper.restored = ledger, version, version.Era, restored
+	keeper.takenOverAt = keeper.Clock.Now()
+	if restored {
+		keeper.Log.Warn("ledger was restored from an old copy, keys wait until all grants that may have been made have expired", "service", keeper.Service, "term", ledger.Term,
+			"era", version.Era, "settledEra", ledger.Era, "waitMs", (keeper.RestoredRenewals + maxGrantLifetime(grantTTL)).Milliseconds())
+	}
 	keeper.Log.Info("ledger taken over", "service", keeper.Service, "term", ledger.Term, "writes", ledger.Writes, "revision", version, "shares", len(ledger.Shares))
 	if keeper.OnLedgerWritten != nil {
 		keeper.OnLedgerWritten(ledger)
