Ignore the restored entry of an upstream that has ended

A copy of the store can hold the entry of an upstream that was removed since. It was taken for a new check-in, and the upstream got requests and keys until the entry lapsed. The last known check-in of a removed upstream is now ignored in a later era.

--- a/internal/registrar/check_in.go
+++ b/internal/registrar/check_in.go
@@ -32,6 +32,7 @@
 	former checkIn
 	// removedAt is when the entry was removed; zero while there is one.
 	removedAt time.Time
+	era       uint64 // of the store when the newest one was read
 }
 
 // checkInRetention is how long after its removal an upstream's check-ins are remembered.
@@ -41,10 +42,15 @@
 // accept records a check-in and reports whether it is the newest one. A process that
 // seems to have started earlier is the running one if it goes on checking in: the clock
 // of its machine was set back.
-func (known *checkIns) accept(received checkIn) bool {
+// In a later era of the store, the last check-in of a removed upstream is that of an old
+// copy.
+func (known *checkIns) accept(received checkIn, era uint64) bool {
+	if received == known.newest && !known.removedAt.IsZero() && era > known.era {
+		return false
+	}
 	stillRuns := received.startedAt == known.former.startedAt && received.sequence > known.former.sequence
 	if received.compare(known.newest) >= 0 || stillRuns {
-		known.newest, known.former, known.removedAt = received, checkIn{}, time.Time{}
+		known.newest, known.former, known.removedAt, known.era = received, checkIn{}, time.Time{}, era
 		return true
 	}
 	if received.startedAt < known.newest.startedAt {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -117,7 +117,7 @@
 		known = &checkIns{}
 		registrar.checkIns[upstream.ID] = known
 	}
-	if !known.accept(checkIn{upstream.StartedAt, entry.Sequence}) {
+	if !known.accept(checkIn{upstream.StartedAt, entry.Sequence}, object.Era) {
 		registrar.Log.Info("ignored an entry that is older than the last one of its upstream", "upstream", upstream.ID, "born", upstream.StartedAt,
 			"sequence", entry.Sequence, "lastBorn", known.newest.startedAt, "lastSequence", known.newest.sequence, "draining", upstream.Draining, "revision", object.Revision)
 		return false
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -165,6 +165,21 @@
 	}
 }
 
+// Guards against an upstream that has ended and gets requests and keys again because a
+// restored store still has its entry.
+func TestRestoredEntryOfARemovedUpstream(t *testing.T) {
+	created, last := newRegistrar()
+	entry := object("a", `{"StartedAt":100,"Sequence":7}`)
+	created.HandleList([]storer.Object{entry})
+	created.HandleChanges([]storer.Change{{Object: object("a", ""), Deleted: true}})
+	entry.Era = 1
+	created.HandleList([]storer.Object{entry})
+	assert.Equal(t, len(last()), 0)
+	entry.Spec = json.RawMessage(`{"StartedAt":100,"Sequence":8}`)
+	created.HandleChanges([]storer.Change{{Object: entry}})
+	assert.DeepEqual(t, last(), []string{"a"})
+}
+
 // An upstream whose entry was removed long ago must not be remembered for ever.
 func TestRemovedUpstreamsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
