Write the entry of a VM and the link key again in a new era

A restored store may lack them. A VM that then started created another link key and could not reach the others, and the majority was counted among the VMs of the copy.

--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -40,6 +40,8 @@
 
 type keyRecord struct {
 	Key string `json:"key"`
+	// Era is the era of the store in which the key was created.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Enroller registers this VM and knows the others. The exported fields must be set
@@ -50,10 +52,20 @@
 	Store storer.Store
 	Clock clocker.Clock
 	Log   *slog.Logger
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart bool
 
 	mutex sync.Mutex
 	vms   map[string]VM
 	names []string // the sorted keys of vms; nil after a change
+	key   keyRecord
+	// era is the latest one of the store that this VM knows, writtenIn the one in which it
+	// wrote its entry, and listedIn the one of the last list.
+	era, writtenIn, listedIn uint64
+	// missing are the VMs that are kept until missingUntil although a restored store lacks
+	// their entries.
+	missing      map[string]bool
+	missingUntil time.Time
 }
 
 const (
@@ -67,8 +79,9 @@
 // LinkKey returns the key that all VMs share. The first VM generates it. It retries
 // until it has the key or ctx is done.
 func (enroller *Enroller) LinkKey(ctx context.Context) ([]byte, error) {
+	began := enroller.Clock.Now()
 	for {
-		key, err := enroller.fetchOrCreateKey(ctx)
+		key, err := enroller.fetchOrCreateKey(ctx, began)
 		if err == nil {
 			return key, nil
 		}
@@ -79,8 +92,11 @@
 	}
 }
 
-func (enroller *Enroller) fetchOrCreateKey(ctx context.Context) ([]byte, error) {
+func (enroller *Enroller) fetchOrCreateKey(ctx context.Context, began time.Time) ([]byte, error) {
 	object, err := enroller.Store.Get(ctx, kindKeys, linkKey)
+	for errors.Is(err, storer.ErrNotFound) && enroller.awaitKey(ctx, object.Era, began) {
+		object, err = enroller.Store.Get(ctx, kindKeys, linkKey)
+	}
 	if errors.Is(err, storer.ErrNotFound) {
 		generated := make([]byte, keyBytes)
 		if _, err := rand.Read(generated); err != nil {
@@ -88,7 +104,7 @@
 		}
 		// If another VM was faster or the response was lost, the next attempt reads
 		// the stored key.
-		object, err = enroller.Store.Create(ctx, kindKeys, linkKey, keyRecord{Key: hex.EncodeToString(generated)})
+		object, err = enroller.Store.Create(ctx, kindKeys, linkKey, keyRecord{Key: hex.EncodeToString(generated), Era: object.Era})
 		if storer.HasCurrentObject(object, err) {
 			err = nil // object has the key that another VM has generated
 		}
@@ -100,7 +116,7 @@
 	if err := json.Unmarshal(object.Spec, &record); err != nil {
 		return nil, fmt.Errorf("link key: %w", err)
 	}
-	return hex.DecodeString(record.Key)
+	return enroller.decodeKey(record)
 }
 
 // Register registers this VM and replaces the entry of an earlier process. It retries
@@ -121,7 +137,11 @@
 
 func (enroller *Enroller) registerOnce(ctx context.Context) error {
 	object, err := enroller.Store.Create(ctx, KindVMs, enroller.Name, enroller.Self)
-	if err == nil || errors.Is(err, storer.ErrRefused) {
+	if err == nil {
+		enroller.recordWrite(object)
+		return nil
+	}
+	if errors.Is(err, storer.ErrRefused) {
 		return err
 	}
 	// An earlier process has registered, or the response to Create was lost.
@@ -132,17 +152,27 @@
 	}
 	var stored VM
 	if err := json.Unmarshal(object.Spec, &stored); err == nil && stored == enroller.Self {
+		enroller.recordWrite(object)
 		return nil
 	}
-	_, err = enroller.Store.Replace(ctx, KindVMs, enroller.Name, object.Version(), enroller.Self)
+	object, err = enroller.Store.Replace(ctx, KindVMs, enroller.Name, object.Version(), enroller.Self)
+	if err == nil {
+		enroller.recordWrite(object)
+	}
 	return err
 }
 
+// recordWrite records the era in which the store has this VM's entry.
+func (enroller *Enroller) recordWrite(object storer.Object) {
+	enroller.mutex.Lock()
+	defer enroller.mutex.Unlock()
+	enroller.writtenIn = max(enroller.writtenIn, object.Era)
+}
+
 // NewFollower returns a follower that keeps the registered VMs up to date.
 func (enroller *Enroller) NewFollower() *storer.Follower {
-	return &storer.Follower{
+	created := &storer.Follower{
 		Store: enroller.Store, Kind: KindVMs, Clock: enroller.Clock, Log: enroller.Log, WatchDelay: func() time.Duration { return watchDelay },
-		OnList: enroller.replace,
 		OnChanges: func(changes []storer.Change) {
 			for _, change := range changes {
 				if change.Deleted {
@@ -153,11 +183,13 @@
 			}
 		},
 	}
+	created.OnList = func(objects []storer.Object) { enroller.replace(objects, created.Era()) }
+	return created
 }
 
 // replace replaces the entries of all VMs at once. With a part of them, a few VMs would
 // count as a majority.
-func (enroller *Enroller) replace(objects []storer.Object) {
+func (enroller *Enroller) replace(objects []storer.Object, era uint64) {
 	vms := make(map[string]VM, len(objects))
 	for _, object := range objects {
 		if vm, ok := enroller.decode(object); ok {
@@ -171,6 +203,7 @@
 			enroller.logChange(object, vm)
 		}
 	}
+	enroller.keepMissing(vms, era)
 	enroller.vms, enroller.names = vms, nil
 }
 
@@ -178,6 +211,7 @@
 	enroller.mutex.Lock()
 	defer enroller.mutex.Unlock()
 	delete(enroller.vms, name)
+	delete(enroller.missing, name)
 	enroller.names = nil
 }
 
@@ -210,6 +244,7 @@
 	}
 	enroller.logChange(object, vm)
 	enroller.vms[object.Name] = vm
+	delete(enroller.missing, object.Name)
 	enroller.names = nil
 }
 
