Let VMs pass on a configuration that a restored store has lost

A VM that started after a restore served with the older configuration of the copy until the operator had written the newer one again.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -61,6 +61,9 @@
 	Followers []*storer.Follower
 	// OnEra, if set, is called whenever this VM learns of a later era of the store.
 	OnEra func(era uint64)
+	// Config, if set, is the source of the configuration that VMs exchange after a restore
+	// of the store.
+	Config ConfigSource
 
 	// notices are what upstreams have said of themselves in responses to this VM, or, if they
 	// are leaving, to VMs that have told this one.
@@ -102,6 +105,9 @@
 	answeredAt   time.Time
 	storeLostFor time.Duration // for how long it could not reach the store
 	listAge      time.Duration // age of its lists of the store; 0 when it does not poll
+
+	answers       int    // to reports of this VM, in eras above 0
+	configVersion uint64 // of its configuration, from its last answer
 }
 
 const (
--- a/internal/allocator/calls.go
+++ b/internal/allocator/calls.go
@@ -76,6 +76,7 @@
 	answer.CompleteTo, answer.CompleteToEras = encodeVersions(completeTo)
 	if era := allocator.storeEra(); era > 0 {
 		answer.Era, answer.Known = era, allocator.knownRecords()
+		allocator.answerConfig(from, message, &answer)
 	}
 	for _, service := range allocator.allServices() {
 		service.learn(from, message.Known[service.name])
--- a/internal/allocator/era_test.go
+++ b/internal/allocator/era_test.go
@@ -1,8 +1,10 @@
 package allocator_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -275,6 +277,73 @@
 	}
 }
 
+// ConfigVersion implements allocator.ConfigSource.
+func (vm *vm) ConfigVersion() uint64 {
+	vm.system.mutex.Lock()
+	defer vm.system.mutex.Unlock()
+	return vm.config
+}
+
+// LostConfig implements allocator.ConfigSource.
+func (vm *vm) LostConfig() []byte {
+	vm.system.mutex.Lock()
+	defer vm.system.mutex.Unlock()
+	if vm.storedConfig >= vm.config {
+		return nil
+	}
+	return fmt.Append(nil, vm.config)
+}
+
+// OfferConfig implements allocator.ConfigSource.
+func (vm *vm) OfferConfig(spec []byte) {
+	var offered uint64
+	err := json.Unmarshal(spec, &offered)
+	vm.system.mutex.Lock()
+	defer vm.system.mutex.Unlock()
+	if err == nil {
+		vm.config = max(vm.config, offered)
+	}
+}
+
+// Guards against a VM that starts after a restore and serves with the old configuration of
+// the copy, although other VMs, or a single one that is no broker, know a newer one.
+func TestNewVMLearnsTheNewestConfig(t *testing.T) {
+	for _, onlyOne := range []bool{false, true} {
+		runRestore(t, 1, func(t *testing.T, system *system, vms []*vm) {
+			system.writeConfig()
+			time.Sleep(2 * time.Second)
+			restore := system.copyStore()
+			system.writeConfig()
+			time.Sleep(2 * time.Second)
+			restore()
+			if onlyOne {
+				brokers := []string{system.claim(t, "keyed").Broker, system.claim(t, "plain").Broker}
+				known := false
+				system.mutex.Lock()
+				for _, vm := range vms {
+					if known || slices.Contains(brokers, vm.name) {
+						vm.config = 1
+					}
+					known = known || vm.config == 2
+				}
+				system.mutex.Unlock()
+			}
+			time.Sleep(2 * time.Second)
+			started := system.start("late")
+			defer started.stopAndWait()
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, !started.ConfigConfirmed())
+			for !started.ConfigConfirmed() {
+				time.Sleep(50 * time.Millisecond)
+			}
+			assert.Equal(t, started.ConfigVersion(), uint64(2))
+			for _, vm := range vms {
+				assert.Equal(t, vm.ConfigVersion(), uint64(2))
+			}
+		})
+	}
+}
+
 // The broker is cut off from the other VMs, not from the store, at the restore: it must
 // settle only once it knows that none of them has replaced it.
 func TestRestoreDuringAPartition(t *testing.T) {
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -89,6 +89,10 @@
 	Era    uint64                  `cbor:"8,keyasint,omitempty"`
 	Known  map[string]knownRecords `cbor:"9,keyasint,omitempty"`
 	Uptime time.Duration           `cbor:"10,keyasint,omitempty"`
+	// ConfigVersion is the version of the VM's configuration, and Config that configuration
+	// if the store has lost it and the broker has an older one. They are absent in era 0.
+	ConfigVersion uint64 `cbor:"11,keyasint,omitempty"`
+	Config        []byte `cbor:"12,keyasint,omitempty"`
 }
 
 // reportAnswer is the answer of a broker to a report.
@@ -110,6 +114,9 @@
 	// Era and Known are as in a report.
 	Era   uint64                  `cbor:"11,keyasint,omitempty"`
 	Known map[string]knownRecords `cbor:"12,keyasint,omitempty"`
+	// ConfigVersion and Config are as in a report.
+	ConfigVersion uint64 `cbor:"13,keyasint,omitempty"`
+	Config        []byte `cbor:"14,keyasint,omitempty"`
 	// ListAge is the age of the broker's lists of the store if the broker polls it;
 	// otherwise 0.
 	ListAge time.Duration `cbor:"6,keyasint,omitempty"`
--- a/internal/allocator/report.go
+++ b/internal/allocator/report.go
@@ -45,6 +45,7 @@
 			message := reportMessage{ForeignSlots: counts, BrokerTerms: brokerTerms[vm]}
 			if era := allocator.storeEra(); era > 0 {
 				message.Era, message.Known, message.Uptime = era, allocator.knownRecords(), allocator.Clock.Now().Sub(allocator.startedAt)
+				allocator.reportConfig(vm, &message)
 			}
 			message.NewestRevisions, message.NewestEras = encodeVersions(allocator.newestVersions())
 			message.CompleteRevisions, message.CompleteEras = encodeVersions(allocator.completeVersions())
@@ -75,6 +76,9 @@
 	}
 	allocator.mutex.Unlock()
 	allocator.observeEra(answer.Era)
+	if answer.Era > 0 {
+		allocator.applyAnsweredConfig(vm, answer)
+	}
 	for name, records := range answer.Known {
 		if service := allocator.service(name); service != nil {
 			service.learn(vm, records)
--- a/internal/allocator/system_test.go
+++ b/internal/allocator/system_test.go
@@ -34,6 +34,7 @@
 	objects   map[string]storer.Object
 	era       uint64             // of the store
 	revision  uint64             // of the newest object
+	configs   uint64             // written
 	writes    int                // of objects by VMs
 	cpuShares map[string]float64 // in cores, by VM
 
@@ -55,6 +56,8 @@
 	storeDown      bool   // store calls fail
 	storeHangs     bool   // store calls that fail take 1.5 s
 	configRevision uint64 // of the last configuration that the VM has received
+	config         uint64 // the newest configuration of the VM
+	storedConfig   uint64 // the configuration that the store has, as far as the VM knows
 	configCalls    int    // store calls for the configuration
 	stop           context.CancelFunc
 	done           chan struct{}
@@ -280,7 +283,7 @@
 	started.Allocator = &allocator.Allocator{
 		VM: name, Zone: "a", BootID: fmt.Sprint(name, "-", time.Now().UnixNano()), Clock: clocker.System{}, Log: slog.New(slog.DiscardHandler),
 		Store: store{vm: started}, Peers: started, Members: started, Granter: granter{system}, StopTimeout: 4 * time.Second,
-		MaxStaleness: system.maxStaleness,
+		MaxStaleness: system.maxStaleness, Config: started,
 	}
 	started.Followers = []*storer.Follower{{
 		Store: store{vm: started}, Kind: "config", Clock: clocker.System{}, Log: started.Log,
@@ -324,6 +327,8 @@
 	vm.system.mutex.Lock()
 	defer vm.system.mutex.Unlock()
 	vm.configRevision = object.Revision
+	_ = json.Unmarshal(object.Spec, &vm.storedConfig)
+	vm.config = max(vm.config, vm.storedConfig)
 }
 
 // writeConfig writes a configuration and returns its revision.
@@ -331,7 +336,8 @@
 	system.mutex.Lock()
 	defer system.mutex.Unlock()
 	system.revision++
-	system.objects["config/main"] = storer.Object{Kind: "config", Name: "main", Era: system.era, Revision: system.revision, Spec: []byte("{}")}
+	system.configs++
+	system.objects["config/main"] = storer.Object{Kind: "config", Name: "main", Era: system.era, Revision: system.revision, Spec: fmt.Append(nil, system.configs)}
 	return system.revision
 }
 
--- a/internal/edger/config.go
+++ b/internal/edger/config.go
@@ -1,10 +1,10 @@
 package edger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cuminstream/cuminstream/internal/storer"
-	"github.com/cuminstream/cuminstream/pkg/matcher"
 )
 
 // changeBatchDelay is the delay before the next watch after changes, so that changes
@@ -31,6 +31,9 @@
 
 // handleConfigList applies the configuration from a list of its kind.
 func (edge *Edge) handleConfigList(objects []storer.Object) {
+	if !slices.ContainsFunc(objects, func(object storer.Object) bool { return object.Name == edge.NameConfig }) {
+		edge.configs.clearStored()
+	}
 	for _, object := range objects {
 		edge.applyConfig(object)
 	}
@@ -57,12 +60,6 @@
 		edge.Log.Warn("configuration is not usable; the last good one stays in force", "revision", object.Revision, "error", err.Error())
 		return
 	}
-	edge.allocator.AddServices(config)
-	if edge.courier.SetTable(matcher.New(config)) {
-		for _, fault := range config.Faults {
-			edge.Log.Warn("an entry of the configuration is not usable; the others are in force", "version", config.Version, "error", fault.Error())
-		}
-		edge.Log.Info("configuration in force", "version", config.Version, "revision", object.Revision,
-			"routes", len(config.Routes), "services", len(config.Services))
-	}
+	edge.configs.recordStored(object, config.Version)
+	edge.putIntoForce(config, "revision", object.Revision)
 }
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -99,6 +99,7 @@
 	NameConfig   string
 	DecodeConfig func(spec []byte) (*matcher.Config, error)
 
+	configs        configHistory
 	enroller       *enroller.Enroller
 	allocator      *allocator.Allocator
 	registrar      *registrar.Registrar
@@ -213,13 +214,13 @@
 	edge.Registry.MustRegister(metrics)
 	edge.enroller = &enroller.Enroller{
 		Name: edge.VM, Self: enroller.VM{Address: edge.LinkListen, Zone: edge.Zone, Boot: boot, CPUShare: edge.CPUShare},
-		Store: edge.Store, Clock: edge.Clock, Log: edge.Log,
+		Store: edge.Store, Clock: edge.Clock, Log: edge.Log, FirstStart: edge.FirstStart,
 	}
 	edge.linkServer = &linker.Server{VM: edge.VM, Clock: edge.Clock, Metrics: metrics, ShutdownTimeout: linkShutdownTimeout}
 	edge.linkPool = &linker.Pool{VM: edge.VM, Directory: edge.enroller, LocalServer: edge.linkServer, Clock: edge.Clock, Metrics: metrics}
 	edge.allocator = &allocator.Allocator{
 		VM: edge.VM, Zone: edge.Zone, BootID: boot, Clock: edge.Clock, Log: edge.Log, Store: edge.Store, Peers: edge.linkPool, Members: edge.enroller,
-		Granter: edge.Granter, MaxStaleness: min(edge.ConfigPeriod, edge.DrainPeriod), StopTimeout: max(edge.GracePeriod-stopReserve-resignReserve, 0),
+		Granter: edge.Granter, Config: edge, OnEra: edge.enroller.ObserveEra, MaxStaleness: min(edge.ConfigPeriod, edge.DrainPeriod), StopTimeout: max(edge.GracePeriod-stopReserve-resignReserve, 0),
 	}
 	edge.allocator.Tune(edge.RetryWindow, edge.RetryRatio, edge.RetrySlack, edge.MaxGrantTTL, edge.DrainPeriod)
 	edge.allocator.Init(edge.linkServer)
@@ -277,6 +278,7 @@
 			return nil
 		}
 		edge.brokerEligible.Store(true)
+		group.Go(func() error { return edge.enroller.Run(ctx) })
 		defer close(edge.resigned)
 		return edge.allocator.Run(stop)
 	})
@@ -316,12 +318,13 @@
 }
 
 // serveReady responds to the load balancer's readiness probe. The VM is ready once
-// it has a configuration and the list of upstreams, and until it shuts down.
+// it has a configuration, the newest one that the brokers know, and the list of
+// upstreams, and until it shuts down.
 func (edge *Edge) serveReady(writer http.ResponseWriter, request *http.Request) {
 	switch {
 	case request.URL.Path != edge.Protocol.ReadyPath():
 		writer.WriteHeader(http.StatusNotFound)
-	case edge.stopping.Load() || edge.courier.Table() == nil || !edge.registrar.Ready():
+	case edge.stopping.Load() || edge.courier.Table() == nil || !edge.registrar.Ready() || !edge.allocator.ConfigConfirmed():
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		writer.WriteHeader(http.StatusOK)
