--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -59,6 +59,11 @@
 	// Followers receive the changes in the store that brokers relay, and learn from the
 	// revisions of other VMs when they are behind. Their order is the same on all VMs.
 	Followers []*storer.Follower
+	// OnEra, if set, is called whenever this VM learns of a later era of the store.
+	OnEra func(era uint64)
+	// Config, if set, is the source of the configuration that VMs exchange after a restore
+	// of the store.
+	Config ConfigSource
 
 	// notices are what upstreams have said of themselves in responses to this VM, or, if they
 	// are leaving, to VMs that have told this one.
@@ -82,6 +87,9 @@
 	polling        bool              // what ShouldPoll reported last
 	peers          map[string]*peer
 	stopping       bool
+	startedAt      time.Time
+	era            uint64           // the latest one of the store that this VM knows
+	claimFollower  *storer.Follower // also if it is not one of Followers
 	// claimReadsFailingSince is when reads of this VM's own claims began to fail; zero
 	// while they succeed.
 	claimReadsFailingSince time.Time
@@ -100,6 +108,9 @@
 	answeredAt   time.Time
 	storeLostFor time.Duration // for how long it could not reach the store
 	listAge      time.Duration // age of its lists of the store; 0 when it does not poll
+
+	answers       int    // to reports of this VM, in eras above 0
+	configVersion uint64 // of its configuration, from its last answer
 }
 
 const (
@@ -162,6 +173,7 @@
 // first link is opened.
 func (allocator *Allocator) Init(server linker.Registrar) {
 	allocator.notices.Clock = allocator.Clock
+	allocator.startedAt = allocator.Clock.Now()
 	allocator.services = map[string]*service{}
 	allocator.claims = map[string]storedClaim{}
 	allocator.peers = map[string]*peer{}
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -53,6 +53,8 @@
 	Broker string `cbor:"12,keyasint,omitempty"`
 	// Rule is the rule of admission that refused the request.
 	Rule broker.AdmissionRule `cbor:"13,keyasint,omitempty"`
+	// Era is the era of the claim of that broker.
+	Era uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // releaseMessage releases a slot and reports how its use ended.
@@ -85,9 +87,21 @@
 	// followers.
 	NewestRevisions   []uint64 `cbor:"4,keyasint,omitempty"`
 	CompleteRevisions []uint64 `cbor:"5,keyasint,omitempty"`
+	// NewestEras and CompleteEras are the eras of these revisions; absent if all are 0.
+	NewestEras   []uint64 `cbor:"6,keyasint,omitempty"`
+	CompleteEras []uint64 `cbor:"7,keyasint,omitempty"`
 	// BrokerTerms are the terms, by service, in which the VM acknowledges the receiver as
 	// the broker.
 	BrokerTerms map[string]uint64 `cbor:"3,keyasint,omitempty"`
+	// Era is the era of the store that the VM knows, Known what it knows of each service,
+	// and Uptime for how long its process has run. They are absent in era 0.
+	Era    uint64                  `cbor:"8,keyasint,omitempty"`
+	Known  map[string]knownRecords `cbor:"9,keyasint,omitempty"`
+	Uptime time.Duration           `cbor:"10,keyasint,omitempty"`
+	// ConfigVersion is the version of the VM's configuration, and Config that configuration
+	// if the store has lost it and the broker has an older one. They are absent in era 0.
+	ConfigVersion uint64 `cbor:"11,keyasint,omitempty"`
+	Config        []byte `cbor:"12,keyasint,omitempty"`
 }
 
 // reportAnswer is the answer of a broker to a report.
@@ -102,6 +116,16 @@
 	// CompleteTo are the revisions up to which the reporting VM has every change once it
 	// has these, in the order of the followers; 0 for those whose changes are left out.
 	CompleteTo []uint64 `cbor:"8,keyasint,omitempty"`
+	// NewestEras and CompleteToEras are the eras of these revisions; absent if all are 0.
+	// A change has the era of the revision to which it is complete.
+	NewestEras     []uint64 `cbor:"9,keyasint,omitempty"`
+	CompleteToEras []uint64 `cbor:"10,keyasint,omitempty"`
+	// Era and Known are as in a report.
+	Era   uint64                  `cbor:"11,keyasint,omitempty"`
+	Known map[string]knownRecords `cbor:"12,keyasint,omitempty"`
+	// ConfigVersion and Config are as in a report.
+	ConfigVersion uint64 `cbor:"13,keyasint,omitempty"`
+	Config        []byte `cbor:"14,keyasint,omitempty"`
 	// ListAge is the age of the broker's lists of the store if the broker polls it;
 	// otherwise 0.
 	ListAge time.Duration `cbor:"6,keyasint,omitempty"`
@@ -127,6 +151,8 @@
 type stepDownMessage struct {
 	Service string `cbor:"1,keyasint"`
 	Term    uint64 `cbor:"2,keyasint"`
+	// Era is that of the claim of the VM in the term.
+	Era uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // stepDownAnswer confirms that the VM grants no more keys of the service.
--- a/internal/allocator/report.go
+++ b/internal/allocator/report.go
@@ -42,7 +42,14 @@
 			continue
 		}
 		allocator.tasks.Go(func() error {
-			allocator.sendReport(ctx, vm, reportMessage{ForeignSlots: counts, BrokerTerms: brokerTerms[vm], NewestRevisions: allocator.newestRevisions(), CompleteRevisions: allocator.completeRevisions()})
+			message := reportMessage{ForeignSlots: counts, BrokerTerms: brokerTerms[vm]}
+			if era := allocator.storeEra(); era > 0 {
+				message.Era, message.Known, message.Uptime = era, allocator.knownRecords(), allocator.Clock.Now().Sub(allocator.startedAt)
+				allocator.reportConfig(vm, &message)
+			}
+			message.NewestRevisions, message.NewestEras = encodeVersions(allocator.newestVersions())
+			message.CompleteRevisions, message.CompleteEras = encodeVersions(allocator.completeVersions())
+			allocator.sendReport(ctx, vm, message)
 			return nil
 		})
 	}
@@ -68,6 +75,15 @@
 		peer.lostSince = now
 	}
 	allocator.mutex.Unlock()
+	allocator.observeEra(answer.Era)
+	if answer.Era > 0 {
+		allocator.applyAnsweredConfig(vm, answer)
+	}
+	for name, records := range answer.Known {
+		if service := allocator.service(name); service != nil {
+			service.learn(vm, records)
+		}
+	}
 	allocator.applyRelayedChanges(answer)
 	if err == nil && answer.StoreLostFor == 0 {
 		allocator.mutex.Lock()
--- a/internal/allocator/resign.go
+++ b/internal/allocator/resign.go
@@ -76,12 +76,12 @@
 	service.mutex.Unlock()
 	ctx, cancel := clocker.WithTimeout(context.Background(), allocator.Clock, time.Second)
 	defer cancel()
-	vacant := Claim{BootID: allocator.BootID, Term: claim.Term, StaleRenewalMs: stale.Milliseconds()}
-	revision, ok := service.writeClaim(ctx, claim, vacant)
+	vacant := Claim{BootID: allocator.BootID, Term: claim.Term, Era: claim.Era, StaleRenewalMs: stale.Milliseconds()}
+	version, ok := service.writeClaim(ctx, claim, vacant)
 	if !ok {
 		allocator.Log.Warn("failed to write resignation as broker", "service", service.name, "term", claim.Term)
 		return
 	}
 	allocator.Log.Info("resigned as broker", "service", service.name, "term", claim.Term)
-	service.applyClaim(storedClaim{vacant, revision})
+	service.applyClaim(storedClaim{vacant, version})
 }
--- a/internal/allocator/system_test.go
+++ b/internal/allocator/system_test.go
@@ -32,10 +32,13 @@
 	mutex     sync.Mutex
 	vms       map[string]*vm
 	objects   map[string]storer.Object
+	era       uint64             // of the store
 	revision  uint64             // of the newest object
+	configs   uint64             // written
 	writes    int                // of objects by VMs
 	cpuShares map[string]float64 // in cores, by VM
 
+	holdings    *holdings               // checks grants, if not nil
 	granted     [broker.KeyCount]string // the upstream that got the last grant, by key
 	unreachable string                  // the upstream that answers no release
 
@@ -53,6 +56,8 @@
 	storeDown      bool   // store calls fail
 	storeHangs     bool   // store calls that fail take 1.5 s
 	configRevision uint64 // of the last configuration that the VM has received
+	config         uint64 // the newest configuration of the VM
+	storedConfig   uint64 // the configuration that the store has, as far as the VM knows
 	configCalls    int    // store calls for the configuration
 	stop           context.CancelFunc
 	done           chan struct{}
@@ -143,7 +148,7 @@
 	return store.vm.system.mutex.Unlock, nil
 }
 
-func (store store) List(_ context.Context, kind string) ([]storer.Object, uint64, error) {
+func (store store) List(_ context.Context, kind string) ([]storer.Object, storer.Version, error) {
 	store.countCall(kind)
 	return store.list(kind)
 }
@@ -157,35 +162,39 @@
 	}
 }
 
-func (store store) list(kind string) ([]storer.Object, uint64, error) {
+func (store store) list(kind string) ([]storer.Object, storer.Version, error) {
 	unlock, err := store.lock()
 	if err != nil {
-		return nil, 0, err
+		return nil, storer.Version{}, err
 	}
 	defer unlock()
 	var objects []storer.Object
 	for key, object := range store.vm.system.objects {
 		if key == kind+"/"+object.Name {
+			object.Era = store.vm.system.era
 			objects = append(objects, object)
 		}
 	}
-	return objects, store.vm.system.revision, nil
+	return objects, storer.Version{Era: store.vm.system.era, Revision: store.vm.system.revision}, nil
 }
 
-func (store store) ListStale(ctx context.Context, kind string) ([]storer.Object, uint64, error) {
+func (store store) ListStale(ctx context.Context, kind string) ([]storer.Object, storer.Version, error) {
 	return store.List(ctx, kind)
 }
 
-func (store store) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+func (store store) Watch(ctx context.Context, kind string, after storer.Version, wait time.Duration) ([]storer.Change, storer.Version, error) {
 	store.countCall(kind)
 	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 		objects, at, err := store.list(kind)
 		if err != nil {
-			return nil, 0, err
+			return nil, storer.Version{}, err
+		}
+		if at.Era > after.Era {
+			return nil, storer.Version{}, storer.ErrEraChanged
 		}
 		var changes []storer.Change
 		for _, object := range objects {
-			if object.Revision > after {
+			if object.Version().After(after) {
 				changes = append(changes, storer.Change{Object: object})
 			}
 		}
@@ -204,16 +213,28 @@
 	defer unlock()
 	object, ok := store.vm.system.objects[kind+"/"+name]
 	if !ok {
-		return object, storer.ErrNotFound
+		return storer.Object{Era: store.vm.system.era}, storer.ErrNotFound
 	}
+	object.Era = store.vm.system.era
 	return object, nil
 }
 
-func (store store) Create(ctx context.Context, kind, name string, spec any) (storer.Object, error) {
-	return store.Replace(ctx, kind, name, 0, spec)
+func (store store) Create(_ context.Context, kind, name string, spec any) (storer.Object, error) {
+	return store.write(kind, name, storer.Version{}, spec)
+}
+
+func (store store) Replace(_ context.Context, kind, name string, version storer.Version, spec any) (storer.Object, error) {
+	store.vm.system.mutex.Lock()
+	changed := version.Era < store.vm.system.era
+	store.vm.system.mutex.Unlock()
+	if changed {
+		return storer.Object{}, storer.ErrEraChanged
+	}
+	return store.write(kind, name, version, spec)
 }
 
-func (store store) Replace(_ context.Context, kind, name string, revision uint64, spec any) (storer.Object, error) {
+// write writes an object that must have the given version.
+func (store store) write(kind, name string, version storer.Version, spec any) (storer.Object, error) {
 	data, err := json.Marshal(spec)
 	if err != nil {
 		return storer.Object{}, err
@@ -224,12 +245,12 @@
 	}
 	defer unlock()
 	system := store.vm.system
-	if system.objects[kind+"/"+name].Revision != revision {
+	if system.objects[kind+"/"+name].Revision != version.Revision {
 		return storer.Object{}, storer.ErrConflict
 	}
 	system.revision++
 	system.writes++
-	object := storer.Object{Kind: kind, Name: name, Revision: system.revision, Spec: data}
+	object := storer.Object{Kind: kind, Name: name, Era: system.era, Revision: system.revision, Spec: data}
 	system.objects[kind+"/"+name] = object
 	return object, nil
 }
@@ -243,15 +264,16 @@
 	for key := grant.Keys.From; key <= grant.Keys.To; key++ {
 		granter.system.granted[key] = owner.ID
 	}
-	return nil
+	return granter.system.holdings.grant(owner, grant)
 }
 
-func (granter granter) Release(_ context.Context, owner keeper.Owner, _ keeper.Range, _ uint64) (string, error) {
+func (granter granter) Release(_ context.Context, owner keeper.Owner, keys keeper.Range, fence uint64) (string, error) {
 	granter.system.mutex.Lock()
 	defer granter.system.mutex.Unlock()
 	if granter.system.unreachable == owner.ID {
 		return "", errUnreachable
 	}
+	granter.system.holdings.release(owner, keys, fence)
 	return "token", nil
 }
 
@@ -261,7 +283,7 @@
 	started.Allocator = &allocator.Allocator{
 		VM: name, Zone: "a", BootID: fmt.Sprint(name, "-", time.Now().UnixNano()), Clock: clocker.System{}, Log: slog.New(slog.DiscardHandler),
 		Store: store{vm: started}, Peers: started, Members: started, Granter: granter{system}, StopTimeout: 4 * time.Second,
-		MaxStaleness: system.maxStaleness,
+		MaxStaleness: system.maxStaleness, Config: started,
 	}
 	started.Followers = []*storer.Follower{{
 		Store: store{vm: started}, Kind: "config", Clock: clocker.System{}, Log: started.Log,
@@ -305,6 +327,8 @@
 	vm.system.mutex.Lock()
 	defer vm.system.mutex.Unlock()
 	vm.configRevision = object.Revision
+	_ = json.Unmarshal(object.Spec, &vm.storedConfig)
+	vm.config = max(vm.config, vm.storedConfig)
 }
 
 // writeConfig writes a configuration and returns its revision.
@@ -312,7 +336,8 @@
 	system.mutex.Lock()
 	defer system.mutex.Unlock()
 	system.revision++
-	system.objects["config/main"] = storer.Object{Kind: "config", Name: "main", Revision: system.revision, Spec: []byte("{}")}
+	system.configs++
+	system.objects["config/main"] = storer.Object{Kind: "config", Name: "main", Era: system.era, Revision: system.revision, Spec: fmt.Append(nil, system.configs)}
 	return system.revision
 }
 
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -105,7 +105,7 @@
 // raiseFence writes a ledger with a higher fencing token for the assignment, because
 // its owner has seen a higher one.
 func (keeper *Keeper) raiseFence(assignment *assignment) {
-	if keeper.writeInProgress || assignment.owner == nil || !slices.Contains(keeper.assignments, assignment) {
+	if keeper.writeInProgress || keeper.unsettled() || assignment.owner == nil || !slices.Contains(keeper.assignments, assignment) {
 		return
 	}
 	next := slices.Clone(keeper.assignments)
@@ -268,59 +268,67 @@
 // is stored. The mutex is held.
 func (keeper *Keeper) write(change change) {
 	keeper.writeInProgress = true
-	next, revision := keeper.ledgerFor(change), keeper.revision
+	next, version := keeper.ledgerFor(change), keeper.version
 	keeper.group.Go(func() error {
-		stored, err := keeper.storeLedger(next, revision)
+		stored, err := keeper.storeLedger(next, version)
 		keeper.mutex.Lock()
 		defer keeper.mutex.Unlock()
-		keeper.writeInProgress = false
-		keeper.plannedAt = keeper.Clock.Now()
-		switch {
-		case err == nil:
-			keeper.apply(change, next, stored)
-		case errors.Is(err, ErrReplaced):
-			keeper.replaced = true
-			keeper.Log.Warn("ledger taken over by another process", "service", keeper.Service, "term", keeper.ledger.Term, "error", err.Error())
-		default:
-			keeper.Log.Warn("ledger write failed", "service", keeper.Service, "writes", next.Writes, "error", err.Error())
-		}
-		keeper.signal()
+		keeper.endWrite(change, next, stored, err)
 		return nil
 	})
 }
 
-// storeLedger replaces the ledger of the given revision in the store and returns the
-// new revision. After an attempt whose outcome is unknown it reads the ledger back,
+// endWrite applies the change if the ledger was written. The mutex is held.
+func (keeper *Keeper) endWrite(change change, next *Ledger, stored storer.Version, err error) {
+	keeper.writeInProgress = false
+	keeper.plannedAt = keeper.Clock.Now()
+	switch {
+	case err == nil:
+		keeper.apply(change, next, stored)
+	case errors.Is(err, ErrReplaced):
+		keeper.replaced = true
+		keeper.Log.Warn("ledger taken over by another process", "service", keeper.Service, "term", keeper.ledger.Term, "error", err.Error())
+	default:
+		keeper.Log.Warn("ledger write failed", "service", keeper.Service, "writes", next.Writes, "error", err.Error())
+	}
+	keeper.signal()
+}
+
+// storeLedger replaces the ledger of the given version in the store and returns the
+// new version. After an attempt whose outcome is unknown it reads the ledger back,
 // because the write may have taken effect.
-func (keeper *Keeper) storeLedger(next *Ledger, revision uint64) (uint64, error) {
+func (keeper *Keeper) storeLedger(next *Ledger, version storer.Version) (storer.Version, error) {
 	var last error
 	for range maxWriteAttempts {
-		object, err := keeper.Store.Replace(keeper.ctx, KindLedgers, keeper.Service, revision, next)
+		object, err := keeper.Store.Replace(keeper.ctx, KindLedgers, keeper.Service, version, next)
 		if err == nil {
-			return object.Revision, nil
+			return object.Version(), nil
 		}
 		last = err
 		if !errors.Is(err, storer.ErrRefused) {
 			object, err = keeper.Store.Get(keeper.ctx, KindLedgers, keeper.Service)
 			if err != nil {
 				last = errors.Join(last, err)
+			} else if object.Era != version.Era {
+				// The change was derived from a ledger that has to be settled first.
+				return storer.Version{}, errors.Join(last, storer.ErrEraChanged)
 			} else if stored, err := DecodeLedger(object.Spec); err != nil {
 				last = errors.Join(last, err)
 			} else {
 				switch {
 				case stored.BootID != next.BootID || stored.Term != next.Term:
-					return 0, fmt.Errorf("%w: the ledger has term %d", ErrReplaced, stored.Term)
+					return storer.Version{}, fmt.Errorf("%w: the ledger has term %d", ErrReplaced, stored.Term)
 				case stored.Writes == next.Writes:
-					return object.Revision, nil
+					return object.Version(), nil
 				}
-				revision = object.Revision
+				version = object.Version()
 			}
 		}
 		if err := sleep(keeper.ctx, keeper, writeRetryInterval); err != nil {
-			return 0, errors.Join(last, err)
+			return storer.Version{}, errors.Join(last, err)
 		}
 	}
-	return 0, last
+	return storer.Version{}, last
 }
 
 func sleep(ctx context.Context, keeper *Keeper, d time.Duration) error {
@@ -337,7 +345,7 @@
 // apply puts a change into effect whose ledger is stored. Answers that arrived during
 // the write are recorded in the current assignments, from which the change was
 // derived; assignments that the change leaves alone are the same objects.
-func (keeper *Keeper) apply(change change, ledger *Ledger, revision uint64) {
+func (keeper *Keeper) apply(change change, ledger *Ledger, version storer.Version) {
 	moved := 0
 	for _, assignment := range change.assignments {
 		keeper.refresh(assignment)
@@ -345,8 +353,8 @@
 			moved += assignment.keys.To - assignment.keys.From + 1
 		}
 	}
-	keeper.assignments, keeper.ledger, keeper.revision = change.assignments, ledger, revision
-	keeper.Log.Info("ledger written", "service", keeper.Service, "term", ledger.Term, "writes", ledger.Writes, "revision", revision,
+	keeper.assignments, keeper.ledger, keeper.version = change.assignments, ledger, version
+	keeper.Log.Info("ledger written", "service", keeper.Service, "term", ledger.Term, "writes", ledger.Writes, "revision", version,
 		"shares", len(ledger.Shares), "owners", len(ledger.Owners), "lastFence", ledger.LastFence, "movingKeys", moved)
 	if keeper.OnLedgerWritten != nil {
 		keeper.OnLedgerWritten(ledger)
