Bound what callers make cuminstreamd hold

Cause: net/http bounds the size of a head, but not the cost of its lines, nor the sum over all connections, nor their number. With 400 connections, heads of 16,000 bytes took 227 MB (one name) and 329 MB (many names) with 44 and 43 MB in the kernel's queues on a machine of 144 MB, and silent connections 410 sockets where 300 are left beside files. The bodies and the malformed heads stayed within the bounds before the change too. Change: internal/acceptor wraps the callers' listener. A head is reserved by its bytes and lines while it arrives, and by its fields while the request runs; the buffered part of a body as it arrives. What does not fit closes the connection before the head is complete, and gives 503 (not run) after it. The bytes of HTTP/2 that nobody has read are bounded for each connection. The timeout of the tests that run alone is 10 minutes: these tests take 107 s more. Result: TestDaemon* pass with the same crowds and bounds: 47, 44 and 70 MB (heads), 50 to 86 MB (bodies), 191 sockets. Tests of acceptor, starter, router, linker and documenter pass with -race.

--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -211,6 +211,9 @@
 		return nil
 	}
 	prefix, err := io.ReadAll(io.LimitReader(incoming.Body, maxBufferedBody+1))
+	if refused := (*answerer.Error)(nil); errors.As(err, &refused) {
+		return refused
+	}
 	if err != nil {
 		return answerer.New(answerer.Malformed, "the body could not be read: %w", err)
 	}
--- a/internal/router/response.go
+++ b/internal/router/response.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -81,7 +80,7 @@
 	if err != nil {
 		return // the connection has failed already
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed already
 	}
 	_ = conn.Close()
--- /dev/null
+++ b/internal/standin/flooder/daemon_flood_test.go
@@ -0,0 +1,45 @@
+package flooder_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cuminstream/cuminstream/internal/standin/flooder"
+)
+
+// Guards against heads of legal size that cost many times their size when parsed.
+func TestDaemonHeadsOfManyLines(t *testing.T) {
+	for name, line := range map[string]func(int) string{
+		"one name":   func(int) string { return "a:" },
+		"many names": func(number int) string { return fmt.Sprintf("%x:", number) },
+		"malformed":  func(number int) string { return map[bool]string{true: "a", false: "b:"}[number > 3000] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			floodDaemon(t, maxFDs, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, Player: flooder.Heads(flooder.HeadOfLines(headBytes, line))})
+		})
+	}
+}
+
+// Guards against bodies that are held without bound because they stop one byte short. The
+// small ones are buffered, the large ones are sent on as they arrive.
+func TestDaemonBodiesThatStopOneByteShort(t *testing.T) {
+	for name, length := range map[string]int{"buffered": 64 << 10, "streamed": bodyBytes} {
+		t.Run(name, func(t *testing.T) {
+			floodDaemon(t, maxFDs, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, Player: flooder.SizedBody(length, 4<<10)})
+		})
+	}
+}
+
+// Guards against chunked bodies that are held without bound because they have no end.
+func TestDaemonChunkedBodiesWithoutEnd(t *testing.T) {
+	for name, body := range map[string]struct{ length, chunk int }{"64 KiB": {bodyBytes - 1, 64 << 10}, "1 byte": {bodyBytes / 4, 1}} {
+		t.Run(name, func(t *testing.T) {
+			floodDaemon(t, maxFDs, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, Player: flooder.ChunkedBody(body.length, body.chunk)})
+		})
+	}
+}
+
+// Guards against connections without a bound.
+func TestDaemonConnectionsWithinDescriptors(t *testing.T) {
+	floodDaemon(t, 500, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, Player: flooder.Silent()})
+}
--- a/internal/starter/daemon.go
+++ b/internal/starter/daemon.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cuminstream/cuminstream/internal/acceptor"
 	"github.com/cuminstream/cuminstream/internal/configurer"
 	"github.com/cuminstream/cuminstream/internal/homer"
 	"github.com/cuminstream/cuminstream/internal/linker"
@@ -60,6 +61,7 @@
 	Router    *router.Router
 	Operator  *operator.Server
 	Exchange  *exchange
+	Acceptor  *acceptor.Acceptor
 	Shutdown  fx.Shutdowner
 }
 
@@ -97,7 +99,7 @@
 	follower := &configurer.Follower{Objects: daemon.deps.Store, Store: daemon.deps.Documents, Recorder: daemon.deps.Recorder}
 	for name, component := range map[string]runner{
 		"store": daemon.deps.Store, "documents": follower, "pool": daemon.deps.Pool,
-		"heartbeats": daemon.deps.Gossip, "homes": daemon.deps.Homer, "groups": daemon.deps.Groups,
+		"account": daemon.deps.Acceptor.Account, "heartbeats": daemon.deps.Gossip, "homes": daemon.deps.Homer, "groups": daemon.deps.Groups,
 	} {
 		daemon.runComponent(ctx, name, component.Run)
 	}
@@ -132,6 +134,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	daemon.callerServer = &http.Server{
 		Handler: daemon.deps.Router.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols,
+		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: acceptor.HTTP2Buffer, MaxReceiveBufferPerStream: acceptor.HTTP2Buffer},
 	}
 	linkServer := &http.Server{Handler: daemon.deps.Server, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	operatorServer := &http.Server{Handler: daemon.deps.Operator.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -154,6 +157,9 @@
 			}
 			return fmt.Errorf("listen on %s: %w", endpoint.address, err)
 		}
+		if endpoint.server == daemon.callerServer {
+			listener = daemon.deps.Acceptor.Listen(listener, daemon.callerServer)
+		}
 		bound = append(bound, listening{endpoint.server, listener})
 	}
 	for _, entry := range bound {
--- a/internal/starter/providers.go
+++ b/internal/starter/providers.go
@@ -31,7 +31,7 @@
 		fx.Provide(
 			func() clocker.Clock { return clocker.System{} },
 			newRegistry, newRecorder, newPlatform, newStore, newTracker, newServer, newPool, newHomer, newUpstreamClient,
-			newRouter, newOperator, newLocalGroups, newGossip, newDaemon,
+			newRouter, newOperator, newLocalGroups, newGossip, newAcceptor, newDaemon,
 			func(store *syncer.Store, pool *linker.Pool, clock clocker.Clock) *exchange {
 				return newExchange(store, pool, clock)
 			},
--- a/internal/starter/settings.go
+++ b/internal/starter/settings.go
@@ -37,6 +37,9 @@
 	Suspicion time.Duration `default:"600ms" env:"CUMINSTREAM_SUSPICION" help:"Time without a heartbeat until a VM is suspected."`
 	Lease     time.Duration `default:"800ms" env:"CUMINSTREAM_LEASE" help:"Duration of the lease of a group."`
 
+	MemoryMB int `name:"memory-mb" default:"0" env:"CUMINSTREAM_MEMORY_MB" help:"Memory of the machine in MiB, from which the bounds of what callers may make this process hold are computed. 0: what the kernel states, without a limit for the garbage collector and for the sizes of sockets' buffers."`
+	MaxFDs   int `name:"max-fds" default:"0" env:"CUMINSTREAM_MAX_FDS" help:"File descriptors of this process, from which the bound of callers' connections is computed. 0: the limit that the kernel states."`
+
 	LogLevel slog.Level `default:"info" env:"CUMINSTREAM_LOG_LEVEL" help:"Lowest level that is logged: debug, info, warn or error."`
 }
 
@@ -105,6 +108,9 @@
 	if settings.StopNotice < 0 || settings.StopTimeout <= 0 {
 		add("stop-timeout", "stop notice %v must not be negative and stop timeout %v must be above 0", settings.StopNotice, settings.StopTimeout)
 	}
+	if settings.MemoryMB < 0 || settings.MaxFDs < 0 {
+		add("memory-mb", "memory %d and descriptors %d must not be negative", settings.MemoryMB, settings.MaxFDs)
+	}
 	if err := settings.Timing().Validate(); err != nil {
 		add("lease", "%w", err)
 	}
