Refuse responses of upstreams that were reset or have no valid status

Cause: the kernel reports a reset to one system call only. If that was a write of a streamed request body, the next read reported the end of the stream, and a response without a length looked complete. A status such as 000, 099 or +20 counted as an interim response, so that what followed it was taken for the response; 600 to 999 were passed on. Change: at the end of a connection its state tells the end of the peer's stream from a reset (peeker.EndedByReset). A status outside of 100 to 599 makes the response incomplete. A response without a length whose upstream ends the stream early in an orderly way still counts as complete: HTTP allows it.

--- a/internal/peeker/peeker.go
+++ b/internal/peeker/peeker.go
@@ -58,3 +58,24 @@
 		}
 	}
 }
+
+// EndedByReset reports whether a connection that has no more bytes to read ended in another
+// way than by the peer's end of its stream: by a reset, a timeout, or on this side. The
+// kernel reports such an end to one system call only; if that is a write, a read afterwards
+// reports the end of the stream. It reports false for a connection without a TCP socket.
+func EndedByReset(conn net.Conn) bool {
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return closed || err != nil
+}
--- a/internal/peeker/peeker_test.go
+++ b/internal/peeker/peeker_test.go
@@ -75,3 +75,29 @@
 	<-reading
 	assert.Equal(t, peeker.Peek(near), peeker.Quiet)
 }
+
+// Guards against a reset that is taken for the end of the peer's stream, and the reverse.
+func TestEndedByReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	for _, reset := range []bool{false, true} {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		accepted, err := listener.Accept()
+		assert.NilError(t, err)
+		assert.Assert(t, !peeker.EndedByReset(conn))
+		if reset {
+			assert.NilError(t, accepted.(*net.TCPConn).SetLinger(0))
+		}
+		assert.NilError(t, accepted.Close())
+		_, err = conn.Read(make([]byte, 1))
+		assert.Assert(t, err != nil)
+		assert.Equal(t, peeker.EndedByReset(conn), reset)
+		assert.NilError(t, conn.Close())
+		assert.Assert(t, peeker.EndedByReset(conn))
+	}
+	pipe, other := net.Pipe()
+	assert.NilError(t, other.Close())
+	assert.Assert(t, !peeker.EndedByReset(pipe))
+}
--- a/internal/sender/errors.go
+++ b/internal/sender/errors.go
@@ -10,6 +10,10 @@
 // within the request's FirstByteTimeout.
 var ErrUnresponsive = errors.New("no byte of the response in time")
 
+// errReset is the cause of an incomplete response if the connection ended without the end of
+// the upstream's stream, and a write has taken the error from the kernel.
+var errReset = errors.New("the connection was reset")
+
 // errCallerLeft is the cause of a request that was not sent because its caller left.
 var errCallerLeft = errors.New("the caller has left")
 
--- a/internal/sender/round_trip.go
+++ b/internal/sender/round_trip.go
@@ -98,6 +98,9 @@
 		if err != nil {
 			return nil, true, fmt.Errorf("read the response: %w", err)
 		}
+		if message.StatusCode < http.StatusContinue || message.StatusCode > maxStatus {
+			return nil, true, fmt.Errorf("invalid status %q", message.Status)
+		}
 		if message.StatusCode < http.StatusOK {
 			if message.StatusCode == http.StatusSwitchingProtocols {
 				return nil, true, errors.New("unexpected response 101 Switching Protocols")
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -131,6 +131,8 @@
 	// idleTimeoutShare is the share of the upstream's Keep-Alive timeout for which a
 	// connection is reused, so that few requests hit a connection that is closing.
 	idleTimeoutShare = 0.6
+	// maxStatus is the largest status that HTTP allows.
+	maxStatus = 599
 	// readBufferSize fits a usual response in one read.
 	readBufferSize = 8 << 10
 )
@@ -162,6 +164,16 @@
 	written atomic.Int64
 }
 
+// Read reads from the upstream. It reports io.EOF only if the upstream has ended its stream,
+// because a response without a length is complete then.
+func (conn *connection) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if err == io.EOF && peeker.EndedByReset(conn.Conn) {
+		err = errReset
+	}
+	return count, err
+}
+
 // Write writes to the upstream and counts the accepted bytes.
 func (conn *connection) Write(data []byte) (int, error) {
 	count, err := conn.Conn.Write(data)
@@ -263,8 +275,10 @@
 	if err != nil {
 		return nil, err
 	}
-	limited := &limiter.Reader{Source: conn, Remaining: limiter.Unlimited}
-	return &connection{Conn: conn, upstream: upstream, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	created := &connection{Conn: conn, upstream: upstream, idleTimeout: defaultIdleTimeout}
+	created.limited = &limiter.Reader{Source: created, Remaining: limiter.Unlimited}
+	created.reader = bufio.NewReaderSize(created.limited, readBufferSize)
+	return created, nil
 }
 
 // takeIdle removes from the pool, and returns, the most recently used connection that is
