Ask the VMs that have slots of an upstream in local mode

Cause: with more VMs than the queue of an upstream holds, those without a slot refused all requests for its keys while there was no broker. Change: they ask up to two of the VMs with a slot, 300 ms each, by the call for a slot of the broker with the optional field Local. Such slots have a term that differs between processes, under which they are released.

--- a/internal/allocator/acquire.go
+++ b/internal/allocator/acquire.go
@@ -10,6 +10,14 @@
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
+const (
+	// holderTimeout bounds a request for a slot to a VM that may assign it in local mode.
+	// It covers a new link and a wait for the slot.
+	holderTimeout = 300 * time.Millisecond
+	// maxHoldersAsked is the number of such VMs that one request asks.
+	maxHoldersAsked = 2
+)
+
 // Acquire implements courier.Allocator.
 func (allocator *Allocator) Acquire(ctx context.Context, name string, request broker.Request) courier.Slot {
 	service := allocator.service(name)
@@ -64,6 +72,15 @@
 		request.Timeout -= elapsed
 		request.Target -= elapsed
 	}
+	if vm != allocator.VM {
+		began := allocator.Clock.Now()
+		if slot, ok := allocator.acquireFromHolder(ctx, service, request); ok {
+			return slot
+		}
+		elapsed := allocator.Clock.Now().Sub(began)
+		request.Timeout -= elapsed
+		request.Target -= elapsed
+	}
 	decision := service.broker.Acquire(ctx, request)
 	slot := courier.Slot{Decision: decision}
 	if vm == allocator.VM {
@@ -77,10 +94,7 @@
 // asks that one. It returns false if no broker has decided.
 func (allocator *Allocator) acquireFromBroker(ctx context.Context, service *service, vm string, request broker.Request) (courier.Slot, bool) {
 	var answer acquireAnswer
-	err := allocator.Peers.Call(ctx, vm, callAcquire, acquireMessage{
-		Service: service.name, RequestID: request.ID, Zone: request.Zone, Key: request.Key, Rank: request.Rank, BodyBytes: request.BodyBytes,
-		Retry: request.Retry, Exclude: request.Exclude, Target: request.Target, Timeout: request.Timeout, Fingerprint: request.Fingerprint,
-	}, &answer)
+	err := allocator.Peers.Call(ctx, vm, callAcquire, newAcquireMessage(service, request), &answer)
 	if err == nil && answer.NotBroker && answer.Broker != "" && service.adoptBroker(answer.Broker, answer.Term) {
 		if answer.Broker != allocator.VM && allocator.isReachable(answer.Broker) {
 			return allocator.acquireFromBroker(ctx, service, answer.Broker, request)
@@ -93,13 +107,52 @@
 		}
 		return courier.Slot{}, false
 	}
+	return service.addAssigned(vm, answer), true
+}
+
+// acquireFromHolder asks a VM that may assign slots of the upstream in local mode, if this VM
+// may not. It returns false if none has decided in time.
+func (allocator *Allocator) acquireFromHolder(ctx context.Context, service *service, request broker.Request) (courier.Slot, bool) {
+	asked := 0
+	for _, vm := range service.broker.LocalHolders(request) {
+		if asked == maxHoldersAsked || ctx.Err() != nil {
+			break
+		}
+		if !allocator.isReachable(vm) {
+			continue
+		}
+		asked++
+		message := newAcquireMessage(service, request)
+		message.Local = true
+		bound, cancel := clocker.WithTimeout(ctx, allocator.Clock, holderTimeout)
+		var answer acquireAnswer
+		err := allocator.Peers.Call(bound, vm, callAcquire, message, &answer)
+		cancel()
+		if err == nil && !answer.NotBroker {
+			return service.addAssigned(vm, answer), true
+		}
+		request.Timeout -= holderTimeout
+		request.Target -= holderTimeout
+	}
+	return courier.Slot{}, false
+}
+
+func newAcquireMessage(service *service, request broker.Request) acquireMessage {
+	return acquireMessage{
+		Service: service.name, RequestID: request.ID, Zone: request.Zone, Key: request.Key, Rank: request.Rank, BodyBytes: request.BodyBytes,
+		Retry: request.Retry, Exclude: request.Exclude, Target: request.Target, Timeout: request.Timeout, Fingerprint: request.Fingerprint,
+	}
+}
+
+// addAssigned returns the slot or refusal in another VM's answer, and counts the slot.
+func (service *service) addAssigned(vm string, answer acquireAnswer) courier.Slot {
 	slot := courier.Slot{Broker: vm, Term: answer.Term, Decision: broker.Decision{
 		Ticket:   answer.Ticket,
 		Upstream: broker.Upstream{ID: answer.Upstream, StartedAt: answer.StartedAt, Service: service.name, Address: answer.Address, Slots: answer.Slots},
 		Refusal:  answer.Refusal, RetryAfter: answer.RetryAfter, Waited: answer.Waited, QueueLength: answer.QueueLength,
 	}}
 	service.addSlot(slot)
-	return slot, true
+	return slot
 }
 
 // Release implements courier.Allocator.
--- a/internal/allocator/calls.go
+++ b/internal/allocator/calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cuminstream/cuminstream/pkg/broker"
 )
 
@@ -17,11 +19,13 @@
 	if service == nil {
 		return acquireAnswer{NotBroker: true}, nil
 	}
+	vm, term := service.brokerVM()
 	if !service.isBroker() {
-		vm, term := service.brokerVM()
-		return acquireAnswer{NotBroker: true, Broker: vm, Term: term}, nil
+		if !message.Local {
+			return acquireAnswer{NotBroker: true, Broker: vm, Term: term}, nil
+		}
+		term = allocator.localTerm()
 	}
-	_, term := service.brokerVM()
 	decision := service.broker.Acquire(ctx, broker.Request{
 		ID: message.RequestID, VM: from, Zone: message.Zone, Key: message.Key, Rank: message.Rank, BodyBytes: message.BodyBytes,
 		Retry: message.Retry, Exclude: message.Exclude, Target: message.Target, Timeout: message.Timeout,
@@ -33,7 +37,13 @@
 	}, nil
 }
 
-// handleRelease releases a slot that this broker assigned in its current term.
+// localTerm takes the place of the term for slots that this process assigns to other VMs in
+// local mode. It differs between processes, whose tickets have the same numbers, and from all
+// terms of brokers.
+func (allocator *Allocator) localTerm() uint64 { return xxhash.Sum64String(allocator.BootID) | 1<<63 }
+
+// handleRelease releases a slot that this VM assigned as the broker in its current term, or
+// in local mode.
 func (allocator *Allocator) handleRelease(_ context.Context, _ string, decode func(any) error) (any, error) {
 	var message releaseMessage
 	if err := decode(&message); err != nil {
@@ -43,7 +53,7 @@
 		allocator.Observe(broker.Upstream{ID: message.Upstream, StartedAt: message.StartedAt}, broker.Notice{Leaving: true})
 	}
 	if service := allocator.service(message.Service); service != nil {
-		if _, term := service.brokerVM(); term == message.Term && service.isBroker() {
+		if _, term := service.brokerVM(); (term == message.Term && service.isBroker()) || message.Term == allocator.localTerm() {
 			service.broker.Release(broker.Result{
 				Ticket: message.Ticket, Outcome: message.Outcome, Elapsed: message.Elapsed, FreeSlot: message.FreeSlot, Notice: broker.Notice{BusyFor: message.BusyFor},
 			})
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -30,6 +30,9 @@
 	Timeout   time.Duration `cbor:"10,keyasint"`
 	// Fingerprint is the same for requests with the same method, target and body.
 	Fingerprint uint64 `cbor:"11,keyasint,omitempty"`
+	// Local asks a VM that is not the broker for a slot that it may assign in local mode.
+	// Other versions answer that they are not the broker.
+	Local bool `cbor:"12,keyasint,omitempty"`
 }
 
 // acquireAnswer is the broker's decision, or the refusal of a VM that is not the broker.
--- a/pkg/broker/local_mode.go
+++ b/pkg/broker/local_mode.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,6 +67,40 @@
 	return rank
 }
 
+// holders returns the VMs that may assign slots of the upstream if this one may not, from a
+// position on that differs between VMs.
+func (mode localMode) holders(upstream *upstreamState) []string {
+	if len(mode.members) <= 1 || upstream.slotLimit > 0 {
+		return nil
+	}
+	sorted := slices.Clone(mode.members)
+	slices.SortFunc(sorted, func(a, b string) int {
+		return cmp.Or(cmp.Compare(memberHash(b, upstream.ID), memberHash(a, upstream.ID)), cmp.Compare(a, b))
+	})
+	sorted = sorted[:min(localTotal(upstream.Upstream), len(sorted))]
+	if len(sorted) == 0 {
+		return nil
+	}
+	start := int(memberHash(mode.vm, upstream.ID) % uint64(len(sorted)))
+	return slices.Concat(sorted[start:], sorted[:start])
+}
+
+// LocalHolders returns the VMs that may assign a slot for the request's key in local mode, in
+// the order in which this VM should ask them. It returns none if this VM may assign one
+// itself, or if any upstream can serve the request.
+func (broker *Broker) LocalHolders(request Request) []string {
+	broker.mutex.Lock()
+	defer broker.mutex.Unlock()
+	if !broker.keyed(request) {
+		return nil
+	}
+	upstream := broker.upstreams[broker.owner(request).Upstream]
+	if upstream == nil {
+		return nil
+	}
+	return broker.localMode.holders(upstream)
+}
+
 func memberHash(vm, upstream string) uint64 { return xxhash.Sum64String(vm + "\x00" + upstream) }
 
 // localCostSpread bounds the factors by which VMs in local mode multiply the cost
