--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -33,6 +33,9 @@
 	// Overflow and Returned are as in broker.Request.
 	Overflow bool `cbor:"12,keyasint,omitempty"`
 	Returned bool `cbor:"13,keyasint,omitempty"`
+	// Local asks a VM that is not the broker for a slot that it may assign in local mode.
+	// Other versions answer that they are not the broker.
+	Local bool `cbor:"14,keyasint,omitempty"`
 }
 
 // acquireAnswer is the broker's decision, or the refusal of a VM that is not the broker.
