Expect slow intervals to end within 400 ms in service times

A stated slowness of 3 multiplied the whole expected service time, although the machine is slow for 400 ms at most. A request is now expected to be slow for half of that.

--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -59,7 +59,7 @@
 	if len(queue.waiting) == 0 || broker.utilization(queue.waiting[0].request, queue.waiting[0].owner, now) <= overloadThreshold {
 		return
 	}
-	finish := now.Add(broker.expectedServiceTime(queue))
+	finish := now.Add(broker.expectedServiceTime(queue, now))
 	kept := queue.waiting[:0]
 	for _, waiter := range queue.waiting {
 		if !finish.After(waiter.arrivedAt.Add(waiter.request.Target)) {
@@ -160,7 +160,7 @@
 	if !ok {
 		return 0, 0, false
 	}
-	serviceTime = upstream.expectedServiceTime()
+	serviceTime = upstream.serviceTimeAt(now)
 	if end, busy := broker.busyEnd(request, ownership, now); busy {
 		return max(end.Sub(now).Seconds()+float64(ahead)*serviceTime/float64(upstream.slotLimit), limited.Seconds()), serviceTime, true
 	}
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -37,6 +37,7 @@
 	candidates    []*upstreamState // buffer of availableUpstreams, reused to save allocations
 	localMode     localMode
 	warmup        warmup
+	evacuated     int // number of upstreams in evacuated zones
 	model         speedModel
 }
 
@@ -92,6 +93,7 @@
 	broker.init()
 	now := broker.Clock.Now()
 	upstreams := make(map[string]*upstreamState, len(list))
+	broker.evacuated = 0
 	for _, info := range list {
 		state := broker.upstreams[info.ID]
 		appeared := state == nil || state.StartedAt != info.StartedAt || (state.Draining && !info.Draining) || (state.Evacuated && !info.Evacuated)
@@ -106,10 +108,14 @@
 			}
 		}
 		broker.markCold(state, info, appeared, now)
-		if info.Evacuated && state.evacuatedAt.IsZero() {
-			state.evacuatedAt = now
-		} else if !info.Evacuated {
+		switch {
+		case !info.Evacuated:
 			state.evacuatedAt = time.Time{}
+		case state.evacuatedAt.IsZero():
+			state.evacuatedAt = now
+		}
+		if info.Evacuated {
+			broker.evacuated++
 		}
 		state.Upstream = info
 		state.slotLimit = broker.localMode.slotLimit(info)
--- a/pkg/broker/busy.go
+++ b/pkg/broker/busy.go
@@ -50,7 +50,7 @@
 				continue
 			}
 			end, busy := broker.busyEnd(waiter.request, waiter.owner, now)
-			if !busy || end.Add(broker.expectedServiceTime(queue)).Before(waiter.arrivedAt.Add(waiter.request.Timeout)) {
+			if !busy || end.Add(broker.expectedServiceTime(queue, now)).Before(waiter.arrivedAt.Add(waiter.request.Timeout)) {
 				continue
 			}
 			broker.dequeue(waiter)
--- a/pkg/broker/capacity.go
+++ b/pkg/broker/capacity.go
@@ -19,7 +19,7 @@
 func (broker *Broker) capacityOf(upstream *upstreamState, now time.Time) float64 {
 	slots := float64(upstream.Slots)
 	if bound := broker.warmup.bound.PerSecond; bound > 0 && upstream.cold(now) {
-		return min(slots, max(brokerWarmupShare*bound*upstream.expectedServiceTime(), minCapacity))
+		return min(slots, max(brokerWarmupShare*bound*upstream.serviceTimeAt(now), minCapacity))
 	}
 	return slots
 }
@@ -31,7 +31,7 @@
 // requestRate returns how many requests per second the slots of the upstream that this
 // broker may assign can serve.
 func (broker *Broker) requestRate(upstream *upstreamState, now time.Time) float64 {
-	rate := float64(upstream.slotLimit) / upstream.expectedServiceTime()
+	rate := float64(upstream.slotLimit) / upstream.serviceTimeAt(now)
 	if limit, bounded := broker.warmupLimit(upstream, now); bounded {
 		rate = min(rate, float64(limit)/warmupWindow.Seconds())
 	}
--- a/pkg/broker/dispatch.go
+++ b/pkg/broker/dispatch.go
@@ -62,7 +62,7 @@
 	if len(available) == 0 {
 		return nil, nil
 	}
-	finish := now.Add(broker.expectedServiceTime(queue))
+	finish := now.Add(broker.expectedServiceTime(queue, now))
 	var local *Waiter // the first request that can get a slot in its own zone
 	var localUpstream *upstreamState
 	for _, waiter := range queue.waiting {
@@ -89,9 +89,9 @@
 
 // expectedServiceTime returns the mean service time of the upstreams that serve the
 // queue.
-func (broker *Broker) expectedServiceTime(queue *queue) time.Duration {
+func (broker *Broker) expectedServiceTime(queue *queue, now time.Time) time.Duration {
 	if owner := broker.upstreams[queue.owner]; owner != nil {
-		return durationOfSeconds(owner.expectedServiceTime())
+		return durationOfSeconds(owner.serviceTimeAt(now))
 	}
 	return durationOfSeconds(broker.meanServiceTime())
 }
@@ -162,7 +162,7 @@
 		if !filter(upstream) || !broker.eligible(upstream, request, now) {
 			continue
 		}
-		cost := upstream.cost() * broker.localMode.costFactor(upstream.ID)
+		cost := upstream.cost(now) * broker.localMode.costFactor(upstream.ID)
 		if upstream.Zone != request.Zone {
 			cost += crossZoneCost
 		}
@@ -180,8 +180,8 @@
 
 // cost returns the expected service time in seconds, increased for failures and for
 // slots in use.
-func (upstream *upstreamState) cost() float64 {
-	cost := upstream.expectedServiceTime() * (1 + failureCost*upstream.failureRate)
+func (upstream *upstreamState) cost(now time.Time) float64 {
+	cost := upstream.serviceTimeAt(now) * (1 + failureCost*upstream.failureRate)
 	// Concurrent requests slow some upstreams down.
 	cost *= 1 + 0.1*float64(upstream.inUse())/float64(upstream.Slots)
 	return cost
--- a/pkg/broker/evacuation.go
+++ b/pkg/broker/evacuation.go
@@ -42,7 +42,7 @@
 		if _, _, ok := broker.estimateEvacuated(owner, now); !owner.Evacuated || ok {
 			return
 		}
-	} else if !broker.anyEvacuated() || broker.anyRemaining() {
+	} else if broker.evacuated == 0 || broker.anyRemaining() {
 		return
 	}
 	for _, waiter := range queue.waiting {
@@ -53,13 +53,3 @@
 	clear(queue.waiting)
 	queue.waiting = queue.waiting[:0]
 }
-
-// anyEvacuated reports whether an upstream of the service is in an evacuated zone.
-func (broker *Broker) anyEvacuated() bool {
-	for _, upstream := range broker.upstreams {
-		if upstream.Evacuated {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/broker/speed.go
+++ b/pkg/broker/speed.go
@@ -76,23 +76,37 @@
 // expectedServiceTime returns the expected service time in seconds of a request that begins
 // now.
 func (upstream *upstreamState) expectedServiceTime() float64 {
-	now := upstream.model.clock.Now()
-	expected := upstream.speed.normal * upstream.slowness(now)
+	return upstream.serviceTimeAt(upstream.model.clock.Now())
+}
+
+// serviceTimeAt returns the expected service time in seconds of a request that begins at the
+// time, which is not before now. Loops over upstreams use it because reading the clock takes
+// longer than the rest of the decision.
+func (upstream *upstreamState) serviceTimeAt(now time.Time) float64 {
+	expected := upstream.momentaryServiceTime(now)
 	if upstream.cold(now) {
 		expected *= upstream.model.coldSlowness
 	}
 	return expected
 }
 
-// slowness returns the expected service time as a multiple of the normal one. What the
-// upstream has stated loses its weight within slownessSpan.
-func (upstream *upstreamState) slowness(now time.Time) float64 {
-	mean := upstream.model.slowness
-	age := now.Sub(upstream.speed.statedAt)
-	if upstream.speed.statedAt.IsZero() || age >= slownessSpan {
+// momentaryServiceTime returns the expected service time of a warm upstream. What it has
+// stated of its slowness loses its weight within slownessSpan.
+func (upstream *upstreamState) momentaryServiceTime(now time.Time) float64 {
+	speed := &upstream.speed
+	mean := speed.normal * upstream.model.slowness
+	if speed.statedAt.IsZero() {
 		return mean
 	}
-	return mean + (upstream.speed.slowness-mean)*(1-age.Seconds()/slownessSpan.Seconds())
+	age := now.Sub(speed.statedAt)
+	if age >= slownessSpan {
+		return mean
+	}
+	stated := speed.normal * speed.slowness
+	if speed.slowness > 1 { // on average, the machine is slow for half the span from then on
+		stated = min(stated, speed.normal+slownessSpan.Seconds()/2*(1-1/speed.slowness))
+	}
+	return mean + (stated-mean)*(1-age.Seconds()/slownessSpan.Seconds())
 }
 
 // recordSpeed updates the speed with a service time. The weight is that of the newest sample.
--- a/pkg/broker/warmup.go
+++ b/pkg/broker/warmup.go
@@ -200,7 +200,7 @@
 		if limit > 0 {
 			wait = min(wait, owner.sent.wait(now, limit, len(kept)))
 		}
-		if end := now.Add(wait + durationOfSeconds(owner.expectedServiceTime())); wait == 0 || !end.After(waiter.arrivedAt.Add(waiter.request.Timeout)) {
+		if end := now.Add(wait + durationOfSeconds(owner.serviceTimeAt(now))); wait == 0 || !end.After(waiter.arrivedAt.Add(waiter.request.Timeout)) {
 			kept = append(kept, waiter)
 			continue
 		}
--- a/pkg/broker/zone.go
+++ b/pkg/broker/zone.go
@@ -35,7 +35,7 @@
 // target, or the target is missed already.
 func meetsTarget(upstream *upstreamState, waiter *Waiter, now time.Time) bool {
 	left := waiter.request.Target - now.Sub(waiter.arrivedAt)
-	return left <= 0 || upstream.cost() <= inTimeShare*left.Seconds()
+	return left <= 0 || upstream.cost(now) <= inTimeShare*left.Seconds()
 }
 
 // mayCrossZones reports whether the request may go to another zone: it is small,
