--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -130,7 +130,7 @@
 	queue.lateChecked = now
 	first := queue.waiting[0]
 	overloaded := broker.utilization(first.request, first.owner, now) > overloadThreshold
-	expected := forecast{serviceTime: broker.expectedServiceTime(queue).Seconds(), spread: broker.spread}
+	expected := forecast{serviceTime: broker.expectedServiceTime(queue, now).Seconds(), spread: broker.spread}
 	var late []*Waiter
 	for index, waiter := range queue.waiting {
 		if overloaded && (index == 0 || waiter.urgency != queue.waiting[index-1].urgency) {
@@ -225,7 +225,7 @@
 	if upstream.Evacuated {
 		return broker.estimateEvacuated(upstream, now)
 	}
-	slots, serviceTime := float64(upstream.slotLimit), upstream.expectedServiceTime()
+	slots, serviceTime := float64(upstream.slotLimit), upstream.serviceTimeAt(now)
 	expected = forecast{serviceTime: serviceTime, interval: serviceTime / slots, free: upstream.freeSlots(), spread: broker.spread}
 	if end, busy := broker.busyEnd(request, ownership, now); busy {
 		expected.delay = end.Sub(now).Seconds()
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -41,6 +41,7 @@
 	candidates    []*upstreamState // buffer of availableUpstreams, reused to save allocations
 	localMode     localMode
 	warmup        warmup
+	evacuated     int // number of upstreams in evacuated zones
 	model         speedModel
 }
 
@@ -108,6 +109,7 @@
 	broker.init()
 	now := broker.Clock.Now()
 	upstreams := make(map[string]*upstreamState, len(list))
+	broker.evacuated = 0
 	for _, info := range list {
 		state := broker.upstreams[info.ID]
 		appeared := state == nil || state.StartedAt != info.StartedAt || (state.Draining && !info.Draining) || (state.Evacuated && !info.Evacuated)
@@ -122,10 +124,14 @@
 			}
 		}
 		broker.markCold(state, info, appeared, now)
-		if info.Evacuated && state.evacuatedAt.IsZero() {
-			state.evacuatedAt = now
-		} else if !info.Evacuated {
+		switch {
+		case !info.Evacuated:
 			state.evacuatedAt = time.Time{}
+		case state.evacuatedAt.IsZero():
+			state.evacuatedAt = now
+		}
+		if info.Evacuated {
+			broker.evacuated++
 		}
 		state.Upstream = info
 		if state.limitedSlots != info.Slots { // a limit costs time, and lists change often
