Recognize returning callers, and let them go first

Cause: a repeat of a refused request competed like a new one, with a new target, although its caller had waited for a part of it. Retry-After was the time that the request would have waited, so that repeats found the same queue, and callers returned too late or more often than they can.

Change: pkg/recognizer learns the times that new requests of a route state as left, and takes those that state less for repeats. A repeat goes before new ones of its class, and its target is shortened. Under overload up to four late repeats for each queue wait for gaps. A first refusal names the time in which slots become free for the request, spread by half of it; a further one 0.1 to 0.3 of the time left, so that a short overload passes. Returned requests are no longer counted twice in the offered load.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -18,6 +18,7 @@
 	"github.com/cuminstream/cuminstream/pkg/broker"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 	"github.com/cuminstream/cuminstream/pkg/matcher"
+	"github.com/cuminstream/cuminstream/pkg/recognizer"
 	"github.com/cuminstream/cuminstream/pkg/splitter"
 )
 
@@ -79,6 +80,7 @@
 	bufferedBytes atomic.Int64
 	mutex         sync.Mutex
 	splitters     map[string]*routeSplitter
+	repeats       recognizer.Recognizer
 }
 
 // routeSplitter divides the traffic of a route among its services. It is replaced
@@ -204,7 +206,9 @@
 	route        *matcher.Route
 	service      matcher.Service
 	key          int
-	deadline     time.Time // when the caller stops waiting
+	deadline     time.Time     // when the caller stops waiting
+	target       time.Time     // when the caller expects the answer
+	sentAgo      time.Duration // before its arrival, the caller has sent the request first; 0 for a new one
 	bufferedBody []byte
 	bodyRest     io.Reader // part of the body that is streamed, or nil
 
@@ -240,6 +244,7 @@
 	timeout := defaultTimeout
 	if left, ok := exchange.Protocol.TimeLeft(exchange.request.Header); ok {
 		timeout = left
+		exchange.sentAgo = exchange.repeats.Record(exchange.route.Name, left)
 	} else if exchange.route.Timeout > 0 {
 		timeout = exchange.route.Timeout
 	}
@@ -247,6 +252,7 @@
 		timeout = min(timeout, exchange.route.Timeout)
 	}
 	exchange.deadline = exchange.request.ReceivedAt.Add(timeout)
+	exchange.target = exchange.request.ReceivedAt.Add(exchange.route.TargetLatency - exchange.sentAgo)
 	ctx, cancel := clocker.WithTimeout(ctx, exchange.Clock, exchange.deadline.Sub(exchange.Clock.Now()))
 	defer cancel()
 	defer func() { exchange.bufferedBytes.Add(-int64(len(exchange.bufferedBody))) }()
@@ -318,8 +324,7 @@
 	if random == nil {
 		random = rand.Float64
 	}
-	target := exchange.request.ReceivedAt.Add(exchange.route.TargetLatency).Sub(exchange.Clock.Now())
-	return broker.RefusedRetryAfter(target, random())
+	return broker.RefusedRetryAfter(exchange.target.Sub(exchange.Clock.Now()), random())
 }
 
 // answerOutcomeUnknown returns an answer for a request that may have run.
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -335,3 +335,20 @@
 		assert.Equal(t, answer.Header.Get("Seal"), "s")
 	})
 }
+
+// Guards against a repeated request that competes like a new one: its caller has waited
+// for a part of its target already, which only the time that it states shows.
+func TestRepeatedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &fakeBackend{responses: []sendFunc{served}}
+		forwarder := newForwarder(backend)
+		for range 30 {
+			forwarder.Serve(t.Context(), request("/read/1"))
+		}
+		forwarder.Serve(t.Context(), request("/read/1", "Left", "1.9s"))
+		first, repeated := backend.slotRequests[29], backend.slotRequests[30]
+		assert.Assert(t, !first.Returned && repeated.Returned)
+		assert.Equal(t, first.Target, 300*time.Millisecond)
+		assert.Equal(t, repeated.Target, 200*time.Millisecond)
+	})
+}
--- a/internal/courier/log.go
+++ b/internal/courier/log.go
@@ -85,6 +85,9 @@
 		slog.String("broker", slot.Broker), slog.Uint64("term", slot.Term), slog.Int("queue", slot.QueueLength),
 		slog.Float64("waitedMs", milliseconds(slot.Waited)), slog.Int("sentBefore", exchange.sentAttempts),
 	}
+	if exchange.sentAgo > 0 {
+		attributes = append(attributes, slog.Float64("firstSentAgoMs", milliseconds(exchange.sentAgo)))
+	}
 	if slot.Refusal != "" {
 		attributes = append(attributes, slog.String("refused", string(slot.Refusal)), slog.Float64("retryAfterMs", milliseconds(slot.RetryAfter)))
 		if slot.Rule != "" {
--- a/pkg/broker/acquire.go
+++ b/pkg/broker/acquire.go
@@ -28,7 +28,10 @@
 	case <-ctx.Done():
 	}
 	broker.Cancel(waiter)
-	return Decision{Refusal: TooLate, Waited: broker.Clock.Now().Sub(waiter.arrivedAt), QueueLength: waiter.queueLength, RetryAfter: minRetryAfter}
+	broker.mutex.Lock()
+	defer broker.mutex.Unlock()
+	now := broker.Clock.Now()
+	return Decision{Refusal: TooLate, Waited: now.Sub(waiter.arrivedAt), QueueLength: waiter.queueLength, RetryAfter: broker.retryAfter(waiter, forecast{}, now)}
 }
 
 // maxQueueTime returns how long the request may wait for a slot.
--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -10,12 +10,12 @@
 	// overloadThreshold is the utilization above which requests that would miss their
 	// target are refused, so that their slots serve others in time.
 	overloadThreshold = 0.9
-	// returnedThreshold is overloadThreshold for requests that were refused before. Up to
-	// it, the queue of their class still gets shorter.
-	returnedThreshold = 1.0
 	// lateTimeoutShare is the share of the time to its deadline within which a request
 	// that will miss its target must be expected to end, or it is refused.
 	lateTimeoutShare = 0.8
+	// maxGapFillers bounds the requests that wait for gaps in a queue. With 16 instead of
+	// 4, twice as many were refused after they had waited.
+	maxGapFillers = 4
 	// maxTrimmed bounds the requests that one new request displaces.
 	maxTrimmed = 2
 	// minRetryAfter and maxRetryAfter bound RetryAfter before jitter, except for
@@ -42,7 +42,7 @@
 	waiter.overloaded = utilization > overloadThreshold
 	forecast, ok := broker.estimate(waiter, now)
 	if !ok {
-		return refuse(Unavailable, time.Second)
+		return refuse(Unavailable, min(time.Second, request.Timeout/4)) // callers wait for up to a third
 	}
 	if waiter.overloaded && forecast.neededShare > overloadThreshold {
 		return broker.admitOverloaded(waiter, forecast, now)
@@ -74,7 +74,8 @@
 		}
 		waiter.urgency = waiter.request.urgency()
 	}
-	if waiter.request.Returned && forecast.neededShare <= returnedThreshold && forecast.meetsDeadline(waiter) {
+	if waiter.overdue && broker.fillsGaps(waiter) {
+		waiter.late = true
 		return Decision{}, false
 	}
 	return broker.refuseByRule(waiter, RuleMissesTarget, forecast, now), true
@@ -87,12 +88,7 @@
 	if queue == nil {
 		return
 	}
-	inTime, _ := slices.BinarySearchFunc(queue.waiting, true, func(waiter *Waiter, _ bool) int {
-		if waiter.late {
-			return 1
-		}
-		return -1
-	})
+	inTime := queue.inTime()
 	forecast.urgentShare, forecast.returnedShare = 0, 0
 	for trimmed := 0; trimmed < maxTrimmed && inTime > 0; trimmed++ {
 		inTime--
@@ -106,6 +102,16 @@
 	}
 }
 
+// fillsGaps reports whether an overdue request of an overloaded class may wait for slots
+// that no request in time needs. It was refused before, and might be refused for good.
+func (broker *Broker) fillsGaps(waiter *Waiter) bool {
+	if !waiter.request.Returned {
+		return false
+	}
+	queue := broker.queues[waiter.owner.Upstream]
+	return queue == nil || len(queue.waiting)-queue.inTime() < maxGapFillers
+}
+
 // refuseByRule returns the refusal of a request that would wait too long.
 func (broker *Broker) refuseByRule(waiter *Waiter, rule AdmissionRule, expected forecast, now time.Time) Decision {
 	if end, busy := broker.busyEnd(waiter.request, waiter.owner, now); busy {
@@ -134,21 +140,20 @@
 		if overloaded && (index == 0 || waiter.urgency != queue.waiting[index-1].urgency) {
 			expected.neededShare = broker.neededShare(waiter, now)
 		}
-		if now.Add(durationOfSeconds(expected.latency())).After(waiter.due()) && (overloaded || !waiter.late) {
+		if waiter.late && (!overloaded || waiter.request.Returned) {
+			continue
+		}
+		if now.Add(durationOfSeconds(expected.latency())).After(waiter.due()) {
 			late = append(late, waiter)
 		}
 	}
 	for _, waiter := range late {
 		broker.dequeue(waiter)
-		threshold := overloadThreshold
-		if waiter.request.Returned {
-			threshold = returnedThreshold
-		}
-		if overloaded && broker.neededShare(waiter, now) > threshold {
+		if overloaded && broker.neededShare(waiter, now) > overloadThreshold && !broker.fillsGaps(waiter) {
 			waiter.Decision <- broker.refuseByRule(waiter, RuleLate, expected, now)
 			continue
 		}
-		waiter.late, waiter.overdue = !overloaded, true
+		waiter.late, waiter.overdue, waiter.overloaded = !overloaded || broker.fillsGaps(waiter), true, overloaded
 		broker.enqueue(waiter)
 	}
 }
@@ -204,6 +209,9 @@
 	waiter.overdue = now.Add(durationOfSeconds(expected.serviceTime)).After(waiter.due())
 	waiter.late = waiter.overdue && !waiter.overloaded
 	waiter.round = broker.nextRound(waiter)
+	if waiter.request.Returned && !waiter.overdue && broker.inFirstRound(waiter) {
+		waiter.class.returned.add(now, expected.serviceTime)
+	}
 	expected.ahead = broker.position(waiter)
 	loads := broker.classLoads(waiter)
 	urgent, returned := loads.goesBefore(waiter, now)
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -51,6 +51,7 @@
 	fingerprint uint64
 	expiresAt   time.Time
 	class       *classLoad
+	returned    bool
 }
 
 // Waiter is a submitted request and the channel that receives its decision.
@@ -68,7 +69,8 @@
 	sequence uint64
 	urgency  int
 	round    int
-	// overloaded is whether more load was offered than could be served when it arrived.
+	// overloaded is whether more load was offered than could be served when it arrived, or
+	// when it became overdue.
 	overloaded bool
 	overdue    bool // it most likely misses its target even if it gets a slot now
 	late       bool // it is overdue, and all others go first
@@ -158,20 +160,16 @@
 	if !request.Retry && broker.RetryBudget != nil {
 		broker.RetryBudget.CountRequest()
 	}
-	serviceTime := broker.meanServiceTime()
-	if !request.Returned {
+	waiter.class = broker.classLoads(waiter).class(waiter.urgency)
+	if !request.Returned { // a returned request was counted when it came first
+		serviceTime := broker.meanServiceTime()
 		broker.offeredLoad.add(now, serviceTime)
-	}
-	if broker.keyed(request) {
 		if upstream := broker.upstreams[waiter.owner.Upstream]; upstream != nil {
 			serviceTime = upstream.serviceTime
-			if !request.Returned {
-				upstream.offeredLoad.add(now, serviceTime)
-			}
+			upstream.offeredLoad.add(now, serviceTime)
 		}
+		waiter.class.offered.add(now, serviceTime)
 	}
-	waiter.class = broker.classLoads(waiter).class(waiter.urgency)
-	waiter.class.record(waiter, serviceTime, now)
 	if request.Key != NoKey {
 		broker.fastKeyRates.add(request.Key, now)
 		broker.slowKeyRates.add(request.Key, now)
@@ -214,7 +212,9 @@
 	ticket.upstream.recordResult(ticket.vm, result, now)
 	switch result.Outcome {
 	case Shed:
-		broker.discountRefused(ticket, now)
+		if !ticket.returned {
+			broker.discountRefused(ticket, now)
+		}
 	case Served:
 		broker.recordSpread(ticket.upstream, result.Elapsed)
 	default:
--- a/pkg/broker/classes.go
+++ b/pkg/broker/classes.go
@@ -28,9 +28,6 @@
 	// twice as many requests were refused after they had waited.
 	maxAheadShare           = 0.8
 	maxOverloadedAheadShare = 0.95
-	// keyedReturnedAhead is the share of the returned requests of the same class that go
-	// before a new one at an owner of keys, where each key has its turn.
-	keyedReturnedAhead = 0.5
 	// maxMeasuredRatio bounds the ratio of a service time to its mean in the measurement
 	// of the spread, because one stalled request says nothing about the others.
 	maxMeasuredRatio = 5
@@ -54,7 +51,7 @@
 type classLoad struct {
 	urgency  int
 	offered  rateMeter // seconds of service time that arrive, without returned requests
-	returned rateMeter // the same of returned requests that can meet their target
+	returned rateMeter // the same of returned requests that go before new ones
 	starved  int       // requests that were refused or admitted for the minimum share
 }
 
@@ -70,16 +67,6 @@
 	return (*loads)[index]
 }
 
-// record counts a request of the class. A returned request was counted when it came first.
-func (load *classLoad) record(waiter *Waiter, serviceTime float64, now time.Time) {
-	switch {
-	case !waiter.request.Returned:
-		load.offered.add(now, serviceTime)
-	case waiter.request.Target.Seconds() >= serviceTime:
-		load.returned.add(now, serviceTime)
-	}
-}
-
 // goesBefore returns the seconds of service time per second that arrive and go before the
 // request: of more urgent classes, and of returned requests of its own.
 func (loads classLoads) goesBefore(waiter *Waiter, now time.Time) (urgent, returned float64) {
@@ -93,9 +80,6 @@
 			returned += load.returned.perSecond(now)
 		}
 	}
-	if waiter.owner.Upstream != noOwner {
-		returned *= keyedReturnedAhead
-	}
 	return urgent, returned
 }
 
@@ -173,16 +157,13 @@
 // neededShare returns the share of the slots that requests of the request's class and of
 // more urgent ones need.
 func (broker *Broker) neededShare(waiter *Waiter, now time.Time) float64 {
-	slots := 0.0
-	if owner := broker.upstreams[waiter.owner.Upstream]; owner != nil {
-		slots = float64(owner.slotLimit)
-	} else {
-		slots = broker.capacity(now)
-	}
-	return broker.classLoads(waiter).needed(waiter.urgency, now) / max(slots, 1)
+	return broker.classLoads(waiter).needed(waiter.urgency, now) / max(broker.slotsOf(waiter, now), 1)
 }
 
-// meetsDeadline reports whether the request most likely ends before its deadline.
-func (forecast forecast) meetsDeadline(waiter *Waiter) bool {
-	return forecast.latency() <= lateTimeoutShare*waiter.request.Timeout.Seconds()
+// slotsOf returns the number of slots for which the request competes.
+func (broker *Broker) slotsOf(waiter *Waiter, now time.Time) float64 {
+	if owner := broker.upstreams[waiter.owner.Upstream]; owner != nil {
+		return float64(owner.slotLimit)
+	}
+	return broker.capacity(now)
 }
--- a/pkg/broker/dispatch.go
+++ b/pkg/broker/dispatch.go
@@ -66,6 +66,9 @@
 		if best != nil && !prefersLocal(waiter, best, now) {
 			break // no request after this one is preferred either
 		}
+		if waiter.late && waiter.overloaded && !leavesSlot(available) {
+			continue // it waits for a gap
+		}
 		upstream := broker.selectUpstream(waiter, available, now)
 		if upstream == nil {
 			continue
@@ -84,6 +87,12 @@
 	return best, chosen
 }
 
+// leavesSlot reports whether the upstreams have another free slot beside the next one, for
+// a request in time that arrives later. An upstream with one slot has none to leave.
+func leavesSlot(available []*upstreamState) bool {
+	return len(available) > 1 || available[0].freeSlots() > 1 || available[0].slotLimit == 1
+}
+
 // expectedServiceTime returns the mean service time of the upstreams that serve the
 // queue.
 func (broker *Broker) expectedServiceTime(queue *queue) time.Duration {
@@ -180,7 +189,7 @@
 	upstream.assigned++
 	broker.recordProbe(waiter.request.Zone, upstream, now)
 	broker.tickets[decision.Ticket] = &ticket{
-		upstream: upstream, vm: waiter.request.VM, zone: waiter.request.Zone, fingerprint: waiter.request.Fingerprint, class: waiter.class,
+		upstream: upstream, vm: waiter.request.VM, zone: waiter.request.Zone, fingerprint: waiter.request.Fingerprint, class: waiter.class, returned: waiter.request.Returned,
 		expiresAt: waiter.arrivedAt.Add(waiter.request.Timeout + ticketGrace),
 	}
 	waiter.Decision <- decision
--- a/pkg/broker/load_test.go
+++ b/pkg/broker/load_test.go
@@ -21,6 +21,10 @@
 	perSecond float64
 	mean      time.Duration               // service time
 	key       func(random *rand.Rand) int // nil for no key
+	// burst multiplies the rate during one second of every five; 0 for no change.
+	burst float64
+	// unrecognized is whether VMs take repeats for new requests.
+	unrecognized bool
 }
 
 // load plays classes of callers against a broker, and upstreams that run as many requests
@@ -71,7 +75,11 @@
 		group.Go(func() {
 			random := rand.New(rand.NewPCG(uint64(class), 1))
 			for number := uint64(0); time.Since(load.began) < load.lasts; number++ {
-				time.Sleep(time.Duration(random.ExpFloat64() / callers.perSecond * float64(time.Second)))
+				rate := callers.perSecond
+				if callers.burst > 0 && time.Since(load.began)%(5*time.Second) >= 4*time.Second {
+					rate *= callers.burst
+				}
+				time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 				group.Go(func() { load.call(class, callers, rand.New(rand.NewPCG(uint64(class), number+2))) })
 			}
 		})
@@ -108,7 +116,10 @@
 			counted.refusedAgain++
 		default:
 			time.Sleep(retryAfter + time.Millisecond)
-			request.Returned, request.Timeout, request.Target = true, callers.request.Timeout-time.Since(arrived), callers.request.Target-time.Since(arrived)
+			request.Timeout = callers.request.Timeout - time.Since(arrived)
+			if !callers.unrecognized {
+				request.Returned, request.Target = true, callers.request.Target-time.Since(arrived)
+			}
 			continue
 		}
 		break
--- a/pkg/broker/queue.go
+++ b/pkg/broker/queue.go
@@ -85,6 +85,18 @@
 	return index
 }
 
+// inTime returns the number of requests before those that come after all others because
+// they cannot meet their target.
+func (queue *queue) inTime() int {
+	index, _ := slices.BinarySearchFunc(queue.waiting, true, func(waiter *Waiter, _ bool) int {
+		if waiter.late {
+			return 1
+		}
+		return -1
+	})
+	return index
+}
+
 // nextRound returns the round of a request that joins the owner's queue. Keys share the
 // slots of overloaded owners only.
 func (broker *Broker) nextRound(waiter *Waiter) int {
@@ -100,6 +112,13 @@
 	return last + 1
 }
 
+// inFirstRound reports whether the request goes before new ones of its class, whatever
+// their keys are.
+func (broker *Broker) inFirstRound(waiter *Waiter) bool {
+	queue := broker.queues[waiter.owner.Upstream]
+	return queue == nil || queue.rounds[waiter.urgency] == nil || waiter.round <= queue.rounds[waiter.urgency].current
+}
+
 // enqueue adds the request to the queue of its owner.
 func (broker *Broker) enqueue(waiter *Waiter) {
 	joined := broker.queues[waiter.owner.Upstream]
--- a/pkg/broker/retry_after.go
+++ b/pkg/broker/retry_after.go
@@ -10,7 +10,7 @@
 	// minRefusedRetryAfter and maxRefusedRetryAfter bound that average.
 	minRefusedRetryAfter = 20 * time.Millisecond
 	maxRefusedRetryAfter = 100 * time.Millisecond
-	// minFreeingTime is the least average Retry-After time after a refusal by admission.
+	// minFreeingTime is the least average Retry-After time after a first refusal.
 	minFreeingTime = 50 * time.Millisecond
 	// spareShare is the largest share of the time in which a repeat can still meet its
 	// target that the caller waits for on average. The rest is for the queue.
@@ -20,20 +20,22 @@
 	maxTimeoutShare = 0.3
 )
 
-// retryAfter returns the Retry-After time of a request that admission refuses: the time in
-// which enough slots become free for it to meet its target, as far as a repeat can still
-// meet it after that; otherwise a time that lets a short overload pass. It is spread by
-// half of it to either side.
+// retryAfter returns the Retry-After time of a request that admission refuses. For a new
+// request that is the time in which enough slots become free for it, at the measured rates
+// of ends and arrivals, as far as a repeat can still meet its target after that. For others
+// it is long, because the next refusal may be final: 0.1 to 0.3 of the time left, in which
+// a short overload passes. It is spread by half of its mean to either side.
 func (broker *Broker) retryAfter(waiter *Waiter, expected forecast, now time.Time) time.Duration {
 	waited := now.Sub(waiter.arrivedAt)
 	longest := time.Duration(maxTimeoutShare * float64(waiter.request.Timeout-waited))
 	left := waiter.request.Target - waited
 	spare := left - durationOfSeconds(expected.serviceTime)
-	mean := longest / 2
-	if share := time.Duration(spareShare * float64(spare)); share >= minFreeingTime {
-		mean = min(max(durationOfSeconds(expected.latency())-left, minFreeingTime), share)
+	mean := longest * 2 / 3
+	if share := time.Duration(spareShare * float64(spare)); share >= minFreeingTime && !waiter.request.Returned {
+		freeing := (expected.latency() - left.Seconds()) / (1 - min(expected.neededShare, maxOverloadedAheadShare))
+		mean = min(max(durationOfSeconds(freeing), minFreeingTime), share)
 	}
-	return max(min(time.Duration(float64(mean)*(0.5+broker.Random())), longest), minRefusedRetryAfter)
+	return max(time.Duration(float64(mean)*(0.5+broker.Random())), minRefusedRetryAfter)
 }
 
 // RefusedRetryAfter returns the Retry-After time for a request that upstreams refused, or
