Keep half of the retry budget for repeats while callers repeat requests

Cause: while all upstreams refuse half of the requests, new requests used up the retry budget within seconds. Repeats, whose next refusal may be final, then got no further attempt.

Change: while at least one repeat per second arrives, new requests may use up half of the budget only. A retry after an attempt that may have run is not held to that: MayHaveRun is an optional field of the messages between VMs.

--- a/internal/allocator/acquire.go
+++ b/internal/allocator/acquire.go
@@ -80,7 +80,7 @@
 	err := allocator.Peers.Call(ctx, vm, callAcquire, acquireMessage{
 		Service: service.name, RequestID: request.ID, Zone: request.Zone, Key: request.Key, Rank: request.Rank, BodyBytes: request.BodyBytes,
 		Retry: request.Retry, Exclude: request.Exclude, Target: request.Target, Timeout: request.Timeout, Fingerprint: request.Fingerprint,
-		Overflow: request.Overflow, Returned: request.Returned,
+		Overflow: request.Overflow, Returned: request.Returned, MayHaveRun: request.MayHaveRun,
 	}, &answer)
 	if err == nil && answer.NotBroker && answer.Broker != "" && service.adoptBroker(answer.Broker, answer.Term) {
 		if answer.Broker != allocator.VM && allocator.isReachable(answer.Broker) {
--- a/internal/allocator/calls.go
+++ b/internal/allocator/calls.go
@@ -25,7 +25,7 @@
 	decision := service.broker.Acquire(ctx, broker.Request{
 		ID: message.RequestID, VM: from, Zone: message.Zone, Key: message.Key, Rank: message.Rank, BodyBytes: message.BodyBytes,
 		Retry: message.Retry, Exclude: message.Exclude, Target: message.Target, Timeout: message.Timeout,
-		Fingerprint: message.Fingerprint, Overflow: message.Overflow, Returned: message.Returned,
+		Fingerprint: message.Fingerprint, Overflow: message.Overflow, Returned: message.Returned, MayHaveRun: message.MayHaveRun,
 	})
 	return acquireAnswer{
 		Ticket: decision.Ticket, Upstream: decision.Upstream.ID, StartedAt: decision.Upstream.StartedAt, Address: decision.Upstream.Address,
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -30,9 +30,10 @@
 	Timeout   time.Duration `cbor:"10,keyasint"`
 	// Fingerprint is the same for requests with the same method, target and body.
 	Fingerprint uint64 `cbor:"11,keyasint,omitempty"`
-	// Overflow and Returned are as in broker.Request.
-	Overflow bool `cbor:"12,keyasint,omitempty"`
-	Returned bool `cbor:"13,keyasint,omitempty"`
+	// Overflow, Returned and MayHaveRun are as in broker.Request.
+	Overflow   bool `cbor:"12,keyasint,omitempty"`
+	Returned   bool `cbor:"13,keyasint,omitempty"`
+	MayHaveRun bool `cbor:"14,keyasint,omitempty"`
 }
 
 // acquireAnswer is the broker's decision, or the refusal of a VM that is not the broker.
--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -23,7 +23,7 @@
 		ID: exchange.id, VM: exchange.VM, Zone: exchange.Zone, Key: exchange.key, Rank: exchange.route.Rank,
 		BodyBytes: max(exchange.request.ContentLength, int64(len(exchange.bufferedBody))), Retry: exchange.sentAttempts > 0, Exclude: exchange.excludedUpstreams,
 		Target: exchange.target.Sub(now), Timeout: exchange.deadline.Sub(now),
-		Fingerprint: exchange.fingerprint(), Overflow: exchange.route.IsOverflow(exchange.service.Name), Returned: exchange.sentAgo > 0,
+		Fingerprint: exchange.fingerprint(), Overflow: exchange.route.IsOverflow(exchange.service.Name), Returned: exchange.sentAgo > 0, MayHaveRun: exchange.mayHaveRun,
 	})
 	exchange.logSlot(slot)
 	if slot.Refusal != "" {
--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -35,7 +35,7 @@
 	if request.Fingerprint != 0 && broker.crashSuspects.Losses(request.Fingerprint) >= maxLosses {
 		return refuse(CrashSuspect, crashSuspectRetryAfter)
 	}
-	if request.Retry && broker.RetryBudget != nil && broker.RetryBudget.Exhausted() {
+	if request.Retry && broker.RetryBudget != nil && broker.RetryBudget.UsedUp(broker.retryShare(request, now)) {
 		return Decision{Refusal: RetryBudgetExhausted, RetryAfter: RefusedRetryAfter(request.Target, broker.Random()), QueueLength: waiter.queueLength}, true
 	}
 	utilization := broker.utilization(request, waiter.owner, now)
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -35,6 +35,7 @@
 	classes       classLoads // of requests without a key
 	spread        float64    // of service times: square of their coefficient of variation
 	lastWaiter    uint64
+	returned      rateMeter // requests that callers send again
 	crashSuspects *suspecter.Table
 	fastKeyRates  keyRateMeter
 	slowKeyRates  keyRateMeter
@@ -161,7 +162,9 @@
 		broker.RetryBudget.CountRequest()
 	}
 	waiter.class = broker.classLoads(waiter).class(waiter.urgency)
-	if !request.Returned { // a returned request was counted when it came first
+	if request.Returned {
+		broker.returned.add(now, 1)
+	} else { // a returned request was counted when it came first
 		serviceTime := broker.meanServiceTime()
 		broker.offeredLoad.add(now, serviceTime)
 		if upstream := broker.upstreams[waiter.owner.Upstream]; upstream != nil {
--- a/pkg/broker/refusals_test.go
+++ b/pkg/broker/refusals_test.go
@@ -20,8 +20,15 @@
 	halfRefused := func(_ string, elapsed time.Duration, random *rand.Rand) bool {
 		return elapsed > 5*time.Second && elapsed < 15*time.Second && random.Float64() < 0.5
 	}
-	result := playUniform(t, count, 20*time.Second, halfRefused, evenCallers(1, 360, 165*time.Millisecond, 800*time.Millisecond, 4*time.Second, count))[0]
-	assert.Assert(t, result.share(result.inTime) >= 1-0.5*0.5*0.5/2)
+	refused := map[bool]int{}
+	for _, recognized := range []bool{false, true} {
+		requests := evenCallers(1, 360, 165*time.Millisecond, 800*time.Millisecond, 4*time.Second, count)
+		requests.unrecognized = !recognized
+		result := playUniform(t, count, 20*time.Second, halfRefused, requests)[0]
+		assert.Assert(t, result.share(result.inTime) >= 1-0.5*0.5*0.5/2)
+		refused[recognized] = result.refusedAgain
+	}
+	assert.Assert(t, refused[true] <= refused[false]*3/4, "repeats must get the retry budget")
 }
 
 // Guards against sending on to one upstream that refuses everything, whether the others
--- a/pkg/broker/retry_after.go
+++ b/pkg/broker/retry_after.go
@@ -45,3 +45,21 @@
 	mean := min(max(time.Duration(refusedRetryShare*float64(target)), minRefusedRetryAfter), maxRefusedRetryAfter)
 	return time.Duration(float64(mean) * (0.5 + random))
 }
+
+const (
+	// newRetryShare is the share of the retry budget that new requests may use up while
+	// callers repeat refused ones. The rest is for repeats.
+	newRetryShare = 0.5
+	// minReturned is the number of repeats per second from which on they have that rest.
+	minReturned = 1
+)
+
+// retryShare returns the share of the retry budget that the request may use up. A new
+// request that upstreams refused can come back without drawing on the budget; the next
+// refusal of a repeat may be final.
+func (broker *Broker) retryShare(request Request, now time.Time) float64 {
+	if request.Returned || request.MayHaveRun || broker.returned.perSecond(now) < minReturned {
+		return 1
+	}
+	return newRetryShare
+}
--- a/pkg/broker/types.go
+++ b/pkg/broker/types.go
@@ -36,6 +36,9 @@
 	Returned bool
 	// Retry marks an attempt after one that may have reached an upstream.
 	Retry bool
+	// MayHaveRun marks a retry after an attempt that may have run. Its caller would not get
+	// a refusal, but an error.
+	MayHaveRun bool
 	// Exclude lists the IDs of upstreams that must not get this request.
 	Exclude []string
 	// Target is the time left to meet the latency target, below 0 once that is
--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -45,14 +45,17 @@
 }
 
 // Exhausted reports whether the budget allows no retry now.
-func (budget *Budget) Exhausted() bool {
+func (budget *Budget) Exhausted() bool { return budget.UsedUp(1) }
+
+// UsedUp reports whether another retry would exceed the share of the budget.
+func (budget *Budget) UsedUp(share float64) bool {
 	budget.advance()
 	requests, retries := 0, 0
 	for _, bucket := range budget.buckets {
 		requests += bucket.requests
 		retries += bucket.retries
 	}
-	return float64(retries+1) > budget.ratio*float64(requests)+budget.slack
+	return float64(retries+1) > share*(budget.ratio*float64(requests)+budget.slack)
 }
 
 // advance clears the buckets that have left the window and returns the current one.
