Do not take a rare class of callers for repeats

A class with less than 1 in 20 of a route's requests and a shorter deadline was taken for repeats of the others, with a target in the past. Now 3 in 100 suffice to be a class (64 times are counted instead of 16), at least 5 requests must state a time, and no repeat states less than 0.4 of it. TestRepeatsAreRecognized covers a class with 1 in 12 of the requests that is not repeated. A request whose key moves while it waits joins the round of the new owner.

--- a/pkg/broker/dispatch.go
+++ b/pkg/broker/dispatch.go
@@ -46,6 +46,7 @@
 	if owner.Upstream != waiter.owner.Upstream {
 		broker.dequeue(waiter)
 		waiter.owner = owner
+		waiter.round = broker.nextRound(waiter)
 		broker.enqueue(waiter) // the other queue is dispatched with the next change
 		return false
 	}
--- a/pkg/recognizer/recognizer.go
+++ b/pkg/recognizer/recognizer.go
@@ -10,11 +10,16 @@
 	// again are spread over many of them.
 	binWidth = 2 * time.Millisecond
 	// binCount is the number of times that are counted for each route.
-	binCount = 16
+	binCount = 64
 	// minShare is the share of a route's requests that state the same time from which on
-	// that is the time of new requests. Each of two classes with a third of the callers
-	// states more even if all callers send their requests three times.
-	minShare = 0.05
+	// that is the time of new requests. Repeats that are told to come back within 50 ms, the
+	// least spread of Retry-After, are fewer for each bin.
+	minShare = 0.03
+	// minCount is the least number of those requests.
+	minCount = 5
+	// maxElapsedShare is the longest time, as a share of the initial one, for which a caller
+	// can have been waiting who honours Retry-After for a third of the time left, twice.
+	maxElapsedShare = 0.6
 	// minRequests is the number of requests of a route before any is recognized.
 	minRequests = 20
 	// halvingInterval is the number of requests after which counts are halved, so that
@@ -97,14 +102,14 @@
 	}
 	least := time.Duration(0)
 	for _, bin := range counts.bins {
-		if float64(bin.count) < minShare*float64(counts.requests) || bin.stated+minElapsed <= stated {
+		if bin.count < minCount || float64(bin.count) < minShare*float64(counts.requests) || bin.stated+minElapsed <= stated {
 			continue
 		}
 		difference := bin.stated - stated
 		if difference < minElapsed {
 			return 0
 		}
-		if least == 0 || difference < least {
+		if float64(difference) <= maxElapsedShare*float64(bin.stated) && (least == 0 || difference < least) {
 			least = difference
 		}
 	}
--- a/pkg/recognizer/recognizer_test.go
+++ b/pkg/recognizer/recognizer_test.go
@@ -11,18 +11,22 @@
 )
 
 // Guards against taking new requests for repeated ones, and the reverse, while most
-// requests of a route with two classes are refused and repeated.
+// requests of a route with two classes are refused and repeated, and those of a third, rare
+// one are not.
 func TestRepeatsAreRecognized(t *testing.T) {
 	var tested recognizer.Recognizer
 	random := rand.New(rand.NewPCG(1, 1))
 	wrongNew, wrongRepeats, count := 0, 0, 0
 	for i := range 20_000 {
 		initial := 4 * time.Second
-		if random.IntN(3) == 0 {
+		switch draw := random.IntN(12); {
+		case draw < 4:
 			initial = 6 * time.Second
+		case draw == 4:
+			initial = 3 * time.Second
 		}
 		ago := time.Duration(0)
-		if random.Float64() < 0.6 {
+		if initial > 3*time.Second && random.Float64() < 0.6 {
 			ago = 20*time.Millisecond + time.Duration(random.Int64N(int64(300*time.Millisecond)))
 		}
 		elapsed := tested.Record("route", initial-ago)
