--- a/internal/allocator/acquire.go
+++ b/internal/allocator/acquire.go
@@ -147,7 +147,7 @@
 	return acquireMessage{
 		Service: service.name, RequestID: request.ID, Zone: request.Zone, Key: request.Key, Rank: request.Rank, BodyBytes: request.BodyBytes,
 		Retry: request.Retry, Exclude: request.Exclude, Target: request.Target, Timeout: request.Timeout, Fingerprint: request.Fingerprint,
-		Overflow: request.Overflow, Returned: request.Returned,
+		Overflow: request.Overflow, Returned: request.Returned, MayHaveRun: request.MayHaveRun,
 	}
 }
 
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -30,9 +30,10 @@
 	Timeout   time.Duration `cbor:"10,keyasint"`
 	// Fingerprint is the same for requests with the same method, target and body.
 	Fingerprint uint64 `cbor:"11,keyasint,omitempty"`
-	// Overflow and Returned are as in broker.Request.
-	Overflow bool `cbor:"12,keyasint,omitempty"`
-	Returned bool `cbor:"13,keyasint,omitempty"`
+	// Overflow, Returned and MayHaveRun are as in broker.Request.
+	Overflow   bool `cbor:"12,keyasint,omitempty"`
+	Returned   bool `cbor:"13,keyasint,omitempty"`
+	MayHaveRun bool `cbor:"15,keyasint,omitempty"`
 	// Local asks a VM that is not the broker for a slot that it may assign in local mode.
 	// Other versions answer that they are not the broker.
 	Local bool `cbor:"14,keyasint,omitempty"`
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -17,6 +17,7 @@
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 	"github.com/cuminstream/cuminstream/pkg/deadliner"
 	"github.com/cuminstream/cuminstream/pkg/matcher"
+	"github.com/cuminstream/cuminstream/pkg/recognizer"
 	"github.com/cuminstream/cuminstream/pkg/splitter"
 )
 
@@ -76,6 +77,7 @@
 	mutex         sync.Mutex
 	splitters     map[string]*routeSplitter
 	deadliners    map[routeService]*deadliner.Deadliner
+	repeats       recognizer.Recognizer
 }
 
 // routeSplitter divides the traffic of a route among its services. It is replaced
@@ -197,7 +199,9 @@
 	route        *matcher.Route
 	service      matcher.Service
 	key          int
-	deadline     time.Time // when the caller stops waiting
+	deadline     time.Time     // when the caller stops waiting
+	target       time.Time     // when the caller expects the answer
+	sentAgo      time.Duration // before its arrival, the caller has sent the request first; 0 for a new one
 	bufferedBody []byte
 	bodyRest     *streamedUpload // part of the body that is streamed, or nil
 	allowance    int64           // reserved for the response
@@ -234,6 +238,7 @@
 	timeout := defaultTimeout
 	if left, ok := exchange.Protocol.TimeLeft(exchange.request.Header); ok {
 		timeout = left
+		exchange.sentAgo = exchange.repeats.Record(exchange.route.Name, left)
 	} else if exchange.route.Timeout > 0 {
 		timeout = exchange.route.Timeout
 	}
@@ -241,6 +246,7 @@
 		timeout = min(timeout, exchange.route.Timeout)
 	}
 	exchange.deadline = exchange.request.ReceivedAt.Add(timeout)
+	exchange.target = exchange.request.ReceivedAt.Add(exchange.route.TargetLatency - exchange.sentAgo)
 	ctx, cancel := clocker.WithTimeout(ctx, exchange.Clock, exchange.deadline.Sub(exchange.Clock.Now()))
 	defer cancel()
 	if answer := exchange.bufferBody(); answer != nil {
@@ -279,8 +285,7 @@
 	if random == nil {
 		random = rand.Float64
 	}
-	target := exchange.request.ReceivedAt.Add(exchange.route.TargetLatency).Sub(exchange.Clock.Now())
-	return broker.RefusedRetryAfter(target, random())
+	return broker.RefusedRetryAfter(exchange.target.Sub(exchange.Clock.Now()), random())
 }
 
 // answerOutcomeUnknown returns an answer for a request that may have run.
