--- a/internal/sender/full_test.go
+++ b/internal/sender/full_test.go
@@ -95,3 +95,18 @@
 		}
 	}
 }
+
+// Guards against a large buffered request that counts as not sent although the upstream has
+// got a part of it: it is written without a copy, past the connection that counts the bytes.
+func TestResetDuringALargeRequest(t *testing.T) {
+	target := startUpstream(t, func(conn net.Conn, requests *bufio.Reader) {
+		_, _ = io.CopyN(io.Discard, requests, 64<<10)
+		_ = errors.Join(conn.(*net.TCPConn).SetLinger(0), conn.Close())
+	})
+	large := request("1")
+	large.Method, large.Body = "POST", make([]byte, 64<<20)
+	_, err := newSender().Send(t.Context(), target, large)
+	var notSent *sender.NotSentError
+	var incomplete *sender.IncompleteResponseError
+	assert.Assert(t, errors.As(err, &incomplete) && !errors.As(err, &notSent), "%v", err)
+}
