Measure service times only for routes whose requests may be sent again

Cause: each Deadliner takes about 40 KB, also for routes that never use its decision. Change: only idempotent routes with more than one attempt have one.

--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -34,7 +34,7 @@
 	response, err := exchange.send(ctx, slot.Upstream, bound.Timeout)
 	result := broker.Result{Ticket: slot.Ticket, Outcome: exchange.classifyOutcome(ctx, response, err), Elapsed: exchange.Clock.Now().Sub(sent)}
 	if result.Outcome == broker.Served {
-		exchange.deadliner().RecordServed(bound, result.Elapsed)
+		exchange.recordServed(bound, result.Elapsed)
 	}
 	if response != nil {
 		result.Notice = broker.Notice{Leaving: response.Metadata.Leaving, BusyFor: response.Metadata.BusyFor}
@@ -81,7 +81,7 @@
 func (exchange *exchange) answerRefusal(ctx context.Context, slot Slot) *fronter.Response {
 	reason := "no slot: " + string(slot.Refusal)
 	if slot.Refusal == broker.RetryBudgetExhausted {
-		exchange.deadliner().RecordBudgetExhausted()
+		exchange.recordBudgetExhausted()
 	}
 	switch {
 	case exchange.mayHaveRun && ctx.Err() != nil:
