Test unread responses and resets of callers of cuminstreamd

TestReset checks that the router can reset the connection of an HTTP/1.0 caller through the acceptor's wrapper.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,3 +130,19 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Assert(t, account.Used(accountant.Requests) < 4<<10, "%d", account.Used(accountant.Requests))
 }
+
+// Guards against a truncated response that looks complete to an HTTP/1.0 caller, because the
+// router cannot reset the connection of net/http.
+func TestReset(t *testing.T) {
+	address, _ := start(t, accountant.LimitsFor(64<<20), 2, func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, "part")
+		controller := http.NewResponseController(writer)
+		assert.Check(t, controller.Flush())
+		conn, _, err := controller.Hijack()
+		assert.Check(t, err)
+		assert.Check(t, conn.(interface{ SetLinger(seconds int) error }).SetLinger(0))
+		assert.Check(t, conn.Close())
+	})
+	_, err := io.ReadAll(send(t, address, "GET / HTTP/1.0\r\n\r\n"))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
--- a/internal/standin/flooder/daemon_flood_test.go
+++ b/internal/standin/flooder/daemon_flood_test.go
@@ -1,10 +1,14 @@
 package flooder_test
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"testing"
 
 	"github.com/cuminstream/cuminstream/internal/standin/flooder"
+	"github.com/cuminstream/cuminstream/internal/standin/upstreamer"
 )
 
 // Guards against heads of legal size that cost many times their size when parsed.
@@ -43,3 +47,17 @@
 func TestDaemonConnectionsWithinDescriptors(t *testing.T) {
 	floodDaemon(t, 500, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, Player: flooder.Silent()})
 }
+
+// Guards against responses that are held without bound because nobody reads them.
+func TestDaemonResponsesThatNobodyReads(t *testing.T) {
+	request := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %d\r\n\r\n", flooder.Path, flooder.Host, upstreamer.HeaderResponseBytes, 200<<10)
+	unread := func(ctx context.Context, conn net.Conn) {
+		for range 16 {
+			if _, err := io.WriteString(conn, request); err != nil {
+				return
+			}
+		}
+		<-ctx.Done()
+	}
+	floodDaemon(t, maxFDs, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, ReceiveBuffer: 4 << 10, Player: unread})
+}
