Give keys back to a returning zone in several plans

Each member without keys got some in the same plan. When the upstreams of a whole zone return, a third of all keys moved at once, to upstreams that are cold.

--- a/pkg/partitioner/partitioner.go
+++ b/pkg/partitioner/partitioner.go
@@ -101,8 +101,8 @@
 	// MaxSpans bounds the number of spans, because the grant of each one is renewed on
 	// its own. No keys are moved to balance load if that could exceed it.
 	MaxSpans int
-	// MaxMoves bounds the moves of one plan that balance load. If it is 0, members
-	// without keys get none either, and only keys of owners that are not members move.
+	// MaxMoves bounds the moves of one plan that balance load or give keys to members
+	// without any. If it is 0, only keys of owners that are not members move.
 	MaxMoves int
 	// RateWindow is the time over which the rates were measured, in seconds.
 	RateWindow float64
@@ -156,10 +156,7 @@
 	plan.computePrefixSums(rates)
 	plan.updateLoads()
 	plan.assignOrphans()
-	if planner.MaxMoves > 0 {
-		plan.populateEmpty()
-	}
-	for range planner.MaxMoves {
+	for range planner.MaxMoves - plan.populateEmpty() {
 		if len(plan.partition)+2 > planner.MaxSpans || !plan.rebalance() {
 			break
 		}
@@ -218,13 +215,16 @@
 	plan.partition = changed.merged()
 }
 
-// populateEmpty moves keys to each member without keys, from the member with the
-// highest utilization.
-func (plan *plan) populateEmpty() {
+// populateEmpty moves keys to members without keys, each time from the member with the
+// highest utilization. The members of a whole zone that returns get theirs in several
+// plans: they are cold, and each move interrupts the requests for its keys. It returns the
+// number of members that needed keys, at most MaxMoves.
+func (plan *plan) populateEmpty() (populated int) {
 	for _, id := range plan.memberIDs {
-		if plan.load[id] > 0 {
+		if plan.load[id] > 0 || populated == plan.MaxMoves {
 			continue
 		}
+		populated++
 		wantedRate := plan.meanUtilization() * plan.members[id].Capacity
 		from := plan.mostUtilized()
 		if from == "" || from == id {
@@ -234,6 +234,7 @@
 			plan.moveSpan(from, id)
 		}
 	}
+	return populated
 }
 
 func (plan *plan) meanUtilization() float64 {
