Name warm-up limits and evacuations in refusals and logs

A request that was refused because the owner of its key is cold, or because all zones are evacuated, was logged as overloaded or unavailable. The reasons warmup (429) and evacuated (503) replace these.

--- a/internal/allocator/warmup.go
+++ b/internal/allocator/warmup.go
@@ -61,18 +61,24 @@
 	return bound
 }
 
-// logWarmup logs each change of the set of cold upstreams of a service that this VM is the
-// broker of.
+// logWarmup logs each upstream that has become cold or warm, if this VM is its broker.
 func (allocator *Allocator) logWarmup(service *service) {
 	if !service.isBroker() {
 		return
 	}
 	stats := service.broker.WarmupStats()
 	service.mutex.Lock()
-	changed := !slices.Equal(service.coldLogged, stats.Cold)
+	former := service.coldLogged
 	service.coldLogged = stats.Cold
 	service.mutex.Unlock()
-	if changed {
-		allocator.Log.Info("cold upstreams", "service", service.name, "upstreams", stats.Cold, "limitedRequests", stats.Limited)
+	for _, upstream := range stats.Cold {
+		if !slices.Contains(former, upstream) {
+			allocator.Log.Info("upstream is cold", "upstream", upstream, "service", service.name)
+		}
+	}
+	for _, upstream := range former {
+		if !slices.Contains(stats.Cold, upstream) {
+			allocator.Log.Info("upstream is warm", "upstream", upstream, "service", service.name, "limitedRequests", stats.Limited)
+		}
 	}
 }
--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -82,7 +82,7 @@
 		return exchange.answerOutcomeUnknown(http.StatusGatewayTimeout, reason)
 	case exchange.mayHaveRun:
 		return exchange.answerOutcomeUnknown(http.StatusBadGateway, reason)
-	case slot.Refusal == broker.Overloaded:
+	case slot.Refusal == broker.Overloaded, slot.Refusal == broker.WarmingUp:
 		return exchange.answerNotRun(http.StatusTooManyRequests, reason, slot.RetryAfter)
 	default:
 		return exchange.answerNotRun(http.StatusServiceUnavailable, reason, slot.RetryAfter)
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -194,7 +194,7 @@
 // A refused request gets the status for the reason, and the broker's Retry-After time.
 func TestRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for reason, status := range map[broker.RefusalReason]int{broker.Overloaded: 429, broker.Unavailable: 503, broker.RetryBudgetExhausted: 503} {
+		for reason, status := range map[broker.RefusalReason]int{broker.Overloaded: 429, broker.Unavailable: 503, broker.RetryBudgetExhausted: 503, broker.WarmingUp: 429, broker.Evacuated: 503} {
 			backend := &fakeBackend{refusal: reason, responses: []sendFunc{served}}
 			answer := newForwarder(backend).Serve(t.Context(), request("/book/1"))
 			assert.Equal(t, answer.Status, status)
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -144,6 +144,14 @@
 		if upstream != "" && sameVM && asString(line.Fields["upstream"]) == upstream {
 			return "upstream"
 		}
+	case "upstream is cold", "upstream is warm": // logged by the broker
+		if step.Message == "slot" && upstream != "" && asString(line.Fields["upstream"]) == upstream {
+			return "warmup"
+		}
+	case "evacuated zones changed":
+		if step.Message == "slot" && (sameVM || line.VM == asString(step.Fields["broker"])) {
+			return line.Message + line.VM
+		}
 	case "store lost", "store regained", "broker VM lost", "broker VM regained", "authority to grant keys changed":
 		if step.Message == "slot" && (sameVM || line.VM == asString(step.Fields["broker"])) && step.Time.Sub(line.Time) < maxOutageAge {
 			return strings.Fields(line.Message)[0] + line.VM
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -142,6 +142,7 @@
 	waiter := &Waiter{Decision: make(chan Decision, 1), request: request, arrivedAt: now, queueLength: broker.waitingCount, owner: broker.owner(request)}
 	broker.recordArrival(waiter, now)
 	if refusal, refused := broker.admit(waiter, now); refused {
+		refusal.Refusal = broker.refineReason(waiter, refusal.Refusal, now)
 		waiter.Decision <- refusal
 		return waiter
 	}
--- a/pkg/broker/evacuation.go
+++ b/pkg/broker/evacuation.go
@@ -48,7 +48,7 @@
 	for _, waiter := range queue.waiting {
 		waiter.queue = nil
 		broker.waitingCount--
-		waiter.Decision <- Decision{Refusal: Unavailable, RetryAfter: broker.jitter(evacuationRetryAfter), Waited: now.Sub(waiter.arrivedAt), QueueLength: waiter.queueLength}
+		waiter.Decision <- Decision{Refusal: Evacuated, RetryAfter: broker.jitter(evacuationRetryAfter), Waited: now.Sub(waiter.arrivedAt), QueueLength: waiter.queueLength}
 	}
 	clear(queue.waiting)
 	queue.waiting = queue.waiting[:0]
--- a/pkg/broker/evacuation_test.go
+++ b/pkg/broker/evacuation_test.go
@@ -47,9 +47,9 @@
 	last := bounded.Submit(newRequest(1))
 	bounded.SetUpstreams(evacuate(evacuate(list, "a", true), "b", true))
 	decision, ok := pollDecision(last)
-	assert.Assert(t, ok && decision.Refusal == broker.Unavailable, "a request waits although all zones are evacuated")
+	assert.Assert(t, ok && decision.Refusal == broker.Evacuated, "a request waits although all zones are evacuated")
 	decision, ok = pollDecision(bounded.Submit(newRequest(1)))
-	assert.Assert(t, ok && decision.Refusal == broker.Unavailable && decision.RetryAfter > 0)
+	assert.Assert(t, ok && decision.Refusal == broker.Evacuated && decision.RetryAfter > 0)
 	bounded.SetUpstreams(list)
 	assert.Equal(t, len(bounded.WarmupStats().Cold), 4)
 	decision, ok = pollDecision(bounded.Submit(newRequest(1)))
@@ -82,8 +82,8 @@
 		clock.Advance(time.Second)
 		bounded.Redispatch()
 		decision, ok = pollDecision(waiter)
-		assert.Assert(t, ok && decision.Refusal == broker.Unavailable, "%+v", decision)
+		assert.Assert(t, ok && decision.Refusal == broker.Evacuated, "%+v", decision)
 		decision, ok = pollDecision(bounded.Submit(request))
-		assert.Assert(t, ok && decision.Refusal == broker.Unavailable, "%+v", decision)
+		assert.Assert(t, ok && decision.Refusal == broker.Evacuated, "%+v", decision)
 	}
 }
--- a/pkg/broker/types.go
+++ b/pkg/broker/types.go
@@ -59,6 +59,8 @@
 	RetryBudgetExhausted RefusalReason = "overBudget"  // too many attempts are retries
 	TooLate              RefusalReason = "tooLate"     // no slot was assigned in time
 	CrashSuspect         RefusalReason = "suspect"     // upstreams were lost while they ran this request
+	WarmingUp            RefusalReason = "warmup"      // the owner of the key is cold and gets no more requests now
+	Evacuated            RefusalReason = "evacuated"   // all upstreams for the request are in evacuated zones
 )
 
 // Decision is the answer to a Request: a slot or a refusal.
--- a/pkg/broker/warmup.go
+++ b/pkg/broker/warmup.go
@@ -206,12 +206,37 @@
 		}
 		waiter.queue = nil
 		broker.waitingCount--
-		waiter.Decision <- Decision{Refusal: Overloaded, RetryAfter: broker.jitter(wait), Waited: now.Sub(waiter.arrivedAt), QueueLength: waiter.queueLength}
+		waiter.Decision <- Decision{Refusal: WarmingUp, RetryAfter: broker.jitter(wait), Waited: now.Sub(waiter.arrivedAt), QueueLength: waiter.queueLength}
 	}
 	clear(queue.waiting[len(kept):])
 	queue.waiting = kept
 }
 
+// refineReason returns the reason of a refusal at arrival. It replaces those that do not
+// say why an upstream with free slots does not get the request.
+func (broker *Broker) refineReason(waiter *Waiter, reason RefusalReason, now time.Time) RefusalReason {
+	if reason != Overloaded && reason != Unavailable {
+		return reason
+	}
+	if !broker.keyed(waiter.request) {
+		if broker.evacuated > 0 && !broker.anyRemaining() {
+			return Evacuated
+		}
+		return reason
+	}
+	owner := broker.upstreams[waiter.owner.Upstream]
+	if owner == nil {
+		return reason
+	}
+	if owner.Evacuated {
+		return Evacuated
+	}
+	if wait, ok := broker.warmupWait(owner, broker.countAhead(owner.ID, waiter.request.Rank), now); wait > 0 || !ok {
+		return WarmingUp
+	}
+	return reason
+}
+
 // recordSent counts a request that is assigned to the upstream.
 func (broker *Broker) recordSent(upstream *upstreamState, now time.Time) {
 	if broker.warmup.bound.PerSecond > 0 {
--- a/pkg/broker/warmup_test.go
+++ b/pkg/broker/warmup_test.go
@@ -187,6 +187,7 @@
 			bounded.Release(broker.Result{Ticket: decision.Ticket, Outcome: broker.Served, Elapsed: 100 * time.Millisecond})
 		default:
 			refused++
+			assert.Equal(t, decision.Refusal, broker.WarmingUp)
 			assert.Assert(t, decision.RetryAfter >= time.Second, "Retry-After is %v", decision.RetryAfter)
 		}
 	}
