Count cold upstreams as warm in the key capacities of an idle service

At the first start, upstreams register one after the other and each is cold at first. The first partition would have given the last ones half as many keys.

--- a/pkg/broker/speed.go
+++ b/pkg/broker/speed.go
@@ -160,11 +160,16 @@
 	return sum / float64(count)
 }
 
+// idleUtilization is the utilization up to which cold upstreams count as warm when keys are
+// assigned. At the first start, upstreams register one after the other, and a partition that
+// counts the last ones as cold would have to be changed under load.
+const idleUtilization = 0.05
+
 // keyCapacity returns how many requests per second the upstream can serve, for the
 // assignment of keys.
 func (broker *Broker) keyCapacity(upstream *upstreamState, now time.Time) float64 {
 	capacity := float64(upstream.Slots) / max(upstream.speed.reported*broker.model.slowness, 0.001)
-	if !upstream.cold(now) {
+	if !upstream.cold(now) || broker.offeredLoad.perSecond(now) <= idleUtilization*float64(upstream.Slots*len(broker.upstreams)) {
 		return capacity
 	}
 	capacity /= broker.model.coldSlowness
--- a/pkg/broker/speed_test.go
+++ b/pkg/broker/speed_test.go
@@ -119,6 +119,9 @@
 		}
 	}
 	capacity := func() float64 {
+		for range 20 { // offers load
+			testBroker.Cancel(testBroker.Submit(newRequest(1)))
+		}
 		stats, _, _ := testBroker.Stats()
 		for _, upstream := range stats {
 			if upstream.Upstream.ID == "u0" {
@@ -143,3 +146,16 @@
 	testBroker.SetUpstreams(list)
 	assert.Assert(t, capacity() < 0.45*warm, "capacity %.1f while cold with a measured slowness of 3, %.1f warm", capacity(), warm)
 }
+
+// Guards against a first partition that depends on the order in which upstreams register:
+// without load, an upstream that has just appeared has the capacity of the others.
+func TestFirstPartitionCountsColdUpstreamsAsWarm(t *testing.T) {
+	clock := newFakeClock()
+	bounded := newBoundedBroker(clock, upstreams(3, 4), nil)
+	bounded.SetUpstreams(upstreams(4, 4))
+	stats, _, _ := bounded.Stats()
+	assert.Equal(t, len(bounded.WarmupStats().Cold), 1)
+	for _, upstream := range stats {
+		assert.Equal(t, upstream.Capacity, stats[0].Capacity)
+	}
+}
