--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -167,6 +167,7 @@
 	}
 	broker.recordArrival(waiter, now)
 	if refusal, refused := broker.admit(waiter, now); refused {
+		refusal.Refusal = broker.refineReason(waiter, refusal.Refusal, now)
 		waiter.Decision <- refusal
 		return waiter
 	}
