--- a/internal/standin/soaker/faults.go
+++ b/internal/standin/soaker/faults.go
@@ -35,7 +35,7 @@
 	upstream, proxy := soak.upstreams[index], soak.proxies[index]
 	length := time.Duration(300+soak.random.IntN(3500)) * time.Millisecond
 	kind := fault(1 + soak.random.IntN(4))
-	switch soak.random.IntN(9) {
+	switch soak.random.IntN(10) {
 	case 0:
 		return fmt.Sprintf("kill %s for %v", vm.Name, length), func() error { return soak.restart(vm, syscall.SIGKILL, length) }
 	case 1:
@@ -60,6 +60,13 @@
 		return fmt.Sprintf("%s: fault %d for %v", upstream.ID, kind, length), func() error { return soak.spoil(length, kind, proxy) }
 	case 7:
 		return "restart " + upstream.ID, func() error { return soak.revive(upstream, proxy) }
+	case 8:
+		age := []time.Duration{time.Second, 5 * time.Second, 20 * time.Second}[soak.random.IntN(3)]
+		without := time.Duration(soak.random.IntN(1000)) * time.Millisecond
+		if soak.random.IntN(2) == 0 {
+			return fmt.Sprintf("restore the store from %v ago after %v without it", age, without), func() error { return soak.restore(age, without, nil) }
+		}
+		return fmt.Sprintf("restore the store from %v ago after %v without it, %s is lost", age, without, vm.Name), func() error { return soak.restore(age, without, vm) }
 	default:
 		return "new configuration", soak.configure
 	}
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -52,7 +52,7 @@
 	group     *errgroup.Group
 	ctx       context.Context
 	random    *rand.Rand
-	version   int
+	version   atomic.Int64 // of the configuration
 	steps     []string
 	began     time.Time
 	served    atomic.Int64
@@ -163,10 +163,12 @@
 }
 
 // configure writes the next version of the configuration.
-func (soak *soak) configure() error {
-	soak.version++
+func (soak *soak) configure() error { return soak.putConfig(soak.version.Add(1)) }
+
+// putConfig writes the configuration with the version.
+func (soak *soak) putConfig(version int64) error {
 	return soak.store.Put("config", "main", map[string]any{
-		"version": fmt.Sprint("r", soak.version),
+		"version": fmt.Sprint("r", version),
 		"routes": map[string]any{
 			"columns": []string{"name", "host", "path-prefix", "kind", "timeout-s", "target-latency-s", "priority", "max-attempts", "service"},
 			"rows": [][]any{
--- a/internal/standin/soaker/store.go
+++ b/internal/standin/soaker/store.go
@@ -16,6 +16,8 @@
 	objects  map[string]map[string]*object // by kind and name
 	changes  []change
 	revision uint64
+	era      uint64        // rises with each restore
+	down     bool          // all calls are refused
 	changed  chan struct{} // closed and replaced at each change
 }
 
@@ -32,6 +34,7 @@
 	Deleted bool   `json:"deleted"`
 	kind    string
 	at      uint64
+	written time.Time
 }
 
 // NewStore returns an empty store.
@@ -66,22 +69,41 @@
 // write records a change. The mutex is held.
 func (store *Store) write(kind string, written *object, deleted bool) {
 	store.revision++
-	if store.objects[kind] == nil {
-		store.objects[kind] = map[string]*object{}
-	}
 	written.Metadata.Revision = store.revision
-	if deleted {
-		delete(store.objects[kind], written.Metadata.Name)
+	made := change{Object: *written, Deleted: deleted, kind: kind, at: store.revision, written: time.Now()}
+	store.apply(made)
+	store.changes = append(store.changes, made)
+	store.wakeWatches()
+}
+
+// apply changes the objects. The mutex is held.
+func (store *Store) apply(made change) {
+	if store.objects[made.kind] == nil {
+		store.objects[made.kind] = map[string]*object{}
+	}
+	if made.Deleted {
+		delete(store.objects[made.kind], made.Object.Metadata.Name)
 	} else {
-		store.objects[kind][written.Metadata.Name] = written
+		store.objects[made.kind][made.Object.Metadata.Name] = &made.Object
 	}
-	store.changes = append(store.changes, change{Object: *written, Deleted: deleted, kind: kind, at: store.revision})
+}
+
+// wakeWatches lets watches look at the state of the store. The mutex is held.
+func (store *Store) wakeWatches() {
 	close(store.changed)
 	store.changed = make(chan struct{})
 }
 
 // ServeHTTP implements http.Handler.
 func (store *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	store.mutex.Lock()
+	era, down := store.era, store.down
+	store.mutex.Unlock()
+	setEra(writer, era)
+	if down {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, "/api/objects/"), "/")
 	switch {
 	case request.Method == http.MethodGet && request.URL.Query().Get("watch") != "":
@@ -91,6 +113,7 @@
 	case request.Method == http.MethodGet:
 		store.mutex.Lock()
 		known := store.objects[kind][name]
+		setEra(writer, store.era)
 		store.mutex.Unlock()
 		if known == nil {
 			writer.WriteHeader(http.StatusNotFound)
@@ -120,6 +143,7 @@
 		items = append(items, item)
 	}
 	at := store.revision
+	setEra(writer, store.era)
 	store.mutex.Unlock()
 	slices.SortFunc(items, func(a, b *object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
 	answer(writer, http.StatusOK, map[string]any{"items": items, "has-more": false, "at": at})
@@ -139,7 +163,12 @@
 			}
 		}
 		at, changed := store.revision, store.changed
+		setEra(writer, store.era)
 		store.mutex.Unlock()
+		if after > at {
+			writer.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) > 0 {
 			answer(writer, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
@@ -163,6 +192,7 @@
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	setEra(writer, store.era)
 	known := store.objects[kind][written.Metadata.Name]
 	create := request.Method == http.MethodPost
 	switch {
