Shorten the wait for lost grants once all VMs follow the broker

After the loss of a broker together with records of the store, keys waited 14 s even if the lost VM ran again after 2 s. A VM that reports in the new era that it follows the broker grants nothing, so that only grants sent before then are in force. VMs whose entries a copy lacks now count for 20 s, longer than the wait without them, and a process that has not listed the VMs before the restore takes the longer wait.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -86,6 +86,8 @@
 	stopping      bool
 	startedAt     time.Time
 	era           uint64           // the latest one of the store that this VM knows
+	eraRoseAt     time.Time        // when it did, after this VM had listed the store; zero if not
+	listed        bool             // all followers have listed the store
 	claimFollower *storer.Follower // also if it is not one of Followers
 	// claimReadsFailingSince is when reads of this VM's own claims began to fail; zero
 	// while they succeed.
--- a/internal/allocator/era.go
+++ b/internal/allocator/era.go
@@ -29,9 +29,15 @@
 	Writes    uint64 `cbor:"3,keyasint,omitempty"`
 }
 
-// confirmation is what a VM has last confirmed to this broker: that it knows the era and
-// no term above this one, and has run since before the term could have been followed.
-type confirmation struct{ era, term uint64 }
+// confirmation is what a VM has confirmed to this broker in an era.
+type confirmation struct {
+	era, term uint64
+	// at is when it first confirmed that it follows this broker.
+	at time.Time
+	// undisputed is set if it knows no term above this one, and has run since before the
+	// term could have been followed.
+	undisputed bool
+}
 
 // precedes reports whether the other claim is newer. Those of a later era come first,
 // since the writers of earlier ones may not know of each other.
@@ -58,6 +64,9 @@
 	allocator.mutex.Lock()
 	known, followers := allocator.era, allocator.Followers
 	allocator.era = max(known, era)
+	if era > known && allocator.listed {
+		allocator.eraRoseAt = allocator.Clock.Now()
+	}
 	if allocator.claimFollower != nil {
 		followers = append(followers[:len(followers):len(followers)], allocator.claimFollower)
 	}
@@ -76,15 +85,23 @@
 
 // observeFollowers records the latest era that any follower has seen.
 func (allocator *Allocator) observeFollowers() {
+	listed := true
 	for _, follower := range allocator.Followers {
 		allocator.observeEra(follower.Era())
+		_, ok := follower.ListAge()
+		listed = listed && ok
 	}
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	allocator.listed = listed
 }
 
 // Era implements keeper.Authority.
 func (service *service) Era() keeper.EraStatus {
 	allocator := service.allocator
-	era := allocator.storeEra()
+	allocator.mutex.Lock()
+	era, knowsVMs := allocator.era, !allocator.eraRoseAt.IsZero()
+	allocator.mutex.Unlock()
 	vms := allocator.Members.VMs()
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
@@ -92,11 +109,24 @@
 	if !service.leading || service.claimedIn != era {
 		return status
 	}
-	status.ClaimedAt, status.Undisputed = service.claimedAt, true
+	status.ClaimedAt, status.FollowedAt, status.Undisputed = service.claimedAt, service.claimedAt, true
 	for _, vm := range vms {
-		if vm != allocator.VM && service.confirmed[vm] != (confirmation{era, service.claim.Term}) {
-			status.Undisputed = false
+		if vm == allocator.VM {
+			continue
+		}
+		confirmed := service.confirmed[vm]
+		if confirmed.era != era || confirmed.term != service.claim.Term {
+			status.FollowedAt, status.Undisputed = time.Time{}, false
+			break
 		}
+		status.Undisputed = status.Undisputed && confirmed.undisputed
+		if confirmed.at.After(status.FollowedAt) {
+			status.FollowedAt = confirmed.at
+		}
+	}
+	if !knowsVMs {
+		// The restored store may lack VMs that this process has never read.
+		status.FollowedAt, status.Undisputed = time.Time{}, false
 	}
 	return status
 }
@@ -146,8 +176,9 @@
 	}
 }
 
-// recordConfirmation records whether the report confirms that its VM has not become the
-// broker since the store last confirmed this process as the broker.
+// recordConfirmation records whether the report confirms that its VM follows this process
+// as the broker, and that it has not become the broker itself since the store last
+// confirmed this process.
 func (service *service) recordConfirmation(vm string, message reportMessage) {
 	now := service.allocator.Clock.Now()
 	service.mutex.Lock()
@@ -156,10 +187,17 @@
 		return
 	}
 	term := service.claim.Term
-	runsSince := now.Add(-message.Uptime)
-	if message.BrokerTerms[service.name] == term && message.Known[service.name].Term <= term && runsSince.Add(uptimeMargin).Before(service.verifiedAt) {
-		service.confirmed[vm] = confirmation{message.Era, term}
+	if message.BrokerTerms[service.name] != term {
+		delete(service.confirmed, vm)
+		return
+	}
+	confirmed := service.confirmed[vm]
+	if confirmed.era != message.Era || confirmed.term != term {
+		confirmed = confirmation{era: message.Era, term: term, at: now}
 	}
+	runsSince := now.Add(-message.Uptime)
+	confirmed.undisputed = message.Known[service.name].Term <= term && runsSince.Add(uptimeMargin).Before(service.verifiedAt)
+	service.confirmed[vm] = confirmed
 }
 
 // beginRewrite reports whether the claim of this process has to be written again because
--- a/internal/allocator/era_test.go
+++ b/internal/allocator/era_test.go
@@ -143,7 +143,8 @@
 		time.Sleep(8 * time.Second)
 		assert.Equal(t, system.heldKeys(), broker.KeyCount)
 		test(t, system, vms)
-		assert.Assert(t, len(system.holdings.violations) == 0, "%d violations: %.3q", len(system.holdings.violations), system.holdings.violations)
+		violations := system.holdings.violations
+		assert.Assert(t, len(violations) == 0, "%d violations: %q", len(violations), violations[:min(len(violations), 3)])
 	})
 }
 
@@ -170,32 +171,31 @@
 // claim, and against a claim that is created anew beside it.
 func TestRestoreKeepsBrokers(t *testing.T) {
 	for _, age := range []time.Duration{time.Second, 5 * time.Second, 20 * time.Second} {
-		for _, era := range []uint64{0, 7} {
-			runRestore(t, era, func(t *testing.T, system *system, vms []*vm) {
-				restore := system.copyStore()
-				moveKeys(vms, age)
-				time.Sleep(600 * time.Millisecond)
-				before, fence := system.claim(t, "keyed"), system.ledger(t).LastFence
-				restore()
-				for range 30 {
-					assert.Equal(t, system.heldKeys(), broker.KeyCount)
-					time.Sleep(100 * time.Millisecond)
-				}
-				after := system.claim(t, "keyed")
-				assert.Equal(t, after.BootID, before.BootID)
-				assert.Equal(t, after.Term, before.Term)
-				assert.Equal(t, after.Era, era+1)
-				assert.Equal(t, system.claim(t, "plain").Era, era+1)
-				assert.Equal(t, system.ledger(t).Era, era+1, "ledger not settled")
-				assert.Assert(t, system.ledger(t).LastFence >= fence)
-				drain(vms, "keyed3")
-				time.Sleep(time.Second)
+		era := uint64(age / (5 * time.Second)) // also 0, as before the first restore
+		runRestore(t, era, func(t *testing.T, system *system, vms []*vm) {
+			restore := system.copyStore()
+			moveKeys(vms, age)
+			time.Sleep(600 * time.Millisecond)
+			before, fence := system.claim(t, "keyed"), system.ledger(t).LastFence
+			restore()
+			for range 30 {
 				assert.Equal(t, system.heldKeys(), broker.KeyCount)
-				for key := range broker.KeyCount {
-					assert.Assert(t, system.holdings.holders[key] != "keyed3", "key %d has not moved", key)
-				}
-			})
-		}
+				time.Sleep(100 * time.Millisecond)
+			}
+			after := system.claim(t, "keyed")
+			assert.Equal(t, after.BootID, before.BootID)
+			assert.Equal(t, after.Term, before.Term)
+			assert.Equal(t, after.Era, era+1)
+			assert.Equal(t, system.claim(t, "plain").Era, era+1)
+			assert.Equal(t, system.ledger(t).Era, era+1, "ledger not settled")
+			assert.Assert(t, system.ledger(t).LastFence >= fence)
+			drain(vms, "keyed3")
+			time.Sleep(time.Second)
+			assert.Equal(t, system.heldKeys(), broker.KeyCount)
+			for key := range broker.KeyCount {
+				assert.Assert(t, system.holdings.holders[key] != "keyed3", "key %d has not moved", key)
+			}
+		})
 	}
 }
 
@@ -245,6 +245,31 @@
 	}
 }
 
+// The lost broker's VM runs again 2 s later. Once all VMs follow the successor, only grants
+// that were sent before are in force: keys are granted within 2 s after their expiry.
+func TestRestoreAndRestartOfTheBroker(t *testing.T) {
+	runRestore(t, 1, func(t *testing.T, system *system, vms []*vm) {
+		restore := system.copyStore()
+		moveKeys(vms, 5*time.Second)
+		lost := named(vms, system.claim(t, "keyed").Broker)
+		system.lose(lost)
+		system.mutex.Lock()
+		lost.killed = true
+		system.mutex.Unlock()
+		restore()
+		time.Sleep(2 * time.Second)
+		restarted := system.start(lost.name)
+		defer restarted.stopAndWait()
+		followed := time.Now()
+		for system.ledger(t).Era != 2 {
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(followed) < keeper.GrantLifetime()+2*time.Second, "settled after %v", time.Since(followed))
+		time.Sleep(time.Second)
+		assert.Equal(t, system.heldKeys(), broker.KeyCount)
+	})
+}
+
 // The broker has changed in records that are lost: the restored claim and ledger name the
 // former one, which is reachable again at the restore. Guards against the two brokers both
 // granting, each by its own era.
@@ -344,23 +369,31 @@
 	}
 }
 
-// The broker is cut off from the other VMs, not from the store, at the restore: it must
-// settle only once it knows that none of them has replaced it.
+// The zone of the broker, two VMs of five, is cut off at the restore, from the store too
+// or not. Guards against a broker that settles before it knows that no VM of the other side
+// has replaced it.
 func TestRestoreDuringAPartition(t *testing.T) {
-	for _, offset := range []time.Duration{0, 400 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
+	for i, offset := range []time.Duration{0, 400 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
 		runRestore(t, 1, func(t *testing.T, system *system, vms []*vm) {
 			restore := system.copyStore()
 			moveKeys(vms, time.Second)
 			cut := named(vms, system.claim(t, "keyed").Broker)
-			system.mutex.Lock()
-			cut.partitioned = true
-			system.mutex.Unlock()
+			zone := append(vms[:0:0], cut, vms[0])
+			if cut == vms[0] {
+				zone[1] = vms[1]
+			}
+			split := func(side int, storeDown bool) {
+				system.mutex.Lock()
+				defer system.mutex.Unlock()
+				for _, vm := range zone {
+					vm.side, vm.storeDown = side, storeDown
+				}
+			}
+			split(1, i%2 == 1)
 			time.Sleep(offset)
 			restore()
-			moveKeys(vms, 4*time.Second)
-			system.mutex.Lock()
-			cut.partitioned = false
-			system.mutex.Unlock()
+			moveKeys(vms, time.Duration(i)*3*time.Second)
+			split(0, false)
 			moveKeys(vms, 20*time.Second)
 			time.Sleep(2 * time.Second)
 			assert.Equal(t, system.ledger(t).Era, uint64(2))
--- a/internal/allocator/service.go
+++ b/internal/allocator/service.go
@@ -72,6 +72,7 @@
 		created.broker.Owners = created
 	}
 	created.claim = allocator.claims[name]
+	created.known.Term = created.claim.Term
 	created.setUpstreams(allocator.upstreams)
 	return created
 }
--- a/internal/allocator/system_test.go
+++ b/internal/allocator/system_test.go
@@ -53,7 +53,9 @@
 	handlers       map[string]linker.CallHandler
 	links          map[string]chan struct{}
 	partitioned    bool   // from all other VMs
+	side           int    // of a partition: VMs of different sides do not reach each other
 	storeDown      bool   // store calls fail
+	killed         bool   // grants and releases fail, as those of a process that has ended
 	storeHangs     bool   // store calls that fail take 1.5 s
 	configRevision uint64 // of the last configuration that the VM has received
 	config         uint64 // the newest configuration of the VM
@@ -70,7 +72,7 @@
 func (vm *vm) Call(ctx context.Context, name, method string, body, answer any) error {
 	vm.system.mutex.Lock()
 	other := vm.system.vms[name]
-	cut := other == nil || vm.partitioned || other.partitioned
+	cut := other == nil || vm.partitioned || other.partitioned || vm.side != other.side
 	vm.system.mutex.Unlock()
 	time.Sleep(time.Millisecond)
 	if cut {
@@ -256,11 +258,17 @@
 }
 
 // granter accepts every grant, and every release except those by unreachable upstreams.
-type granter struct{ system *system }
+type granter struct {
+	system *system
+	vm     *vm
+}
 
 func (granter granter) Grant(_ context.Context, owner keeper.Owner, grant keeper.Grant) error {
 	granter.system.mutex.Lock()
 	defer granter.system.mutex.Unlock()
+	if granter.vm.killed {
+		return errUnreachable
+	}
 	for key := grant.Keys.From; key <= grant.Keys.To; key++ {
 		granter.system.granted[key] = owner.ID
 	}
@@ -270,7 +278,7 @@
 func (granter granter) Release(_ context.Context, owner keeper.Owner, keys keeper.Range, fence uint64) (string, error) {
 	granter.system.mutex.Lock()
 	defer granter.system.mutex.Unlock()
-	if granter.system.unreachable == owner.ID {
+	if granter.system.unreachable == owner.ID || granter.vm.killed {
 		return "", errUnreachable
 	}
 	granter.system.holdings.release(owner, keys, fence)
@@ -282,7 +290,7 @@
 	started := &vm{system: system, name: name, handlers: map[string]linker.CallHandler{}, links: map[string]chan struct{}{}, done: make(chan struct{})}
 	started.Allocator = &allocator.Allocator{
 		VM: name, Zone: "a", BootID: fmt.Sprint(name, "-", time.Now().UnixNano()), Clock: clocker.System{}, Log: slog.New(slog.DiscardHandler),
-		Store: store{vm: started}, Peers: started, Members: started, Granter: granter{system}, StopTimeout: 4 * time.Second,
+		Store: store{vm: started}, Peers: started, Members: started, Granter: granter{system, started}, StopTimeout: 4 * time.Second,
 		MaxStaleness: system.maxStaleness, Config: started,
 	}
 	started.Followers = []*storer.Follower{{
--- a/internal/enroller/era.go
+++ b/internal/enroller/era.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// missingGrace is how long a VM stays registered whose entry a restored store lacks:
-	// VMs see a new era within about a second, and write their entries again.
-	missingGrace = 5 * time.Second
+	// missingGrace is how long a VM stays registered whose entry a restored store lacks.
+	// VMs see a new era within about a second, and write their entries again. One that is
+	// cut off may be a broker whose claim was lost, and must count for longer than the 14 s
+	// that the ledger is settled without it.
+	missingGrace = 20 * time.Second
 	// keyGrace is how long a VM that finds no link key waits for other VMs to write it
 	// again, in a store that may have been restored, and keyCheckInterval how often it
 	// looks for it.
--- a/internal/enroller/era_test.go
+++ b/internal/enroller/era_test.go
@@ -133,7 +133,7 @@
 		list("a")
 		assert.DeepEqual(t, created.VMs(), []string{"a", "b", "c"})
 		list("a", "b")
-		time.Sleep(4 * time.Second)
+		time.Sleep(19 * time.Second)
 		assert.DeepEqual(t, created.VMs(), []string{"a", "b", "c"})
 		time.Sleep(2 * time.Second)
 		assert.DeepEqual(t, created.VMs(), []string{"a", "b"})
--- a/internal/keeper/era.go
+++ b/internal/keeper/era.go
@@ -22,6 +22,9 @@
 	Era uint64
 	// ClaimedAt is when the process wrote its claim in this era; zero before.
 	ClaimedAt time.Time
+	// FollowedAt is when the last of all other VMs had confirmed in this era that it follows
+	// this broker, so that its process grants no keys; zero before.
+	FollowedAt time.Time
 	// Undisputed is set if no other process can have become the broker since this one, as
 	// all other VMs have confirmed in this era.
 	Undisputed bool
@@ -39,6 +42,10 @@
 // that was to replace it. The next attempt starts above it.
 var errLedgerAhead = errors.New("the stored ledger has a higher fencing token or write")
 
+// stopMargin is the time in which a process that follows another broker has ended its own
+// grant calls.
+const stopMargin = 200 * time.Millisecond
+
 // settleRetryInterval is the time between attempts to settle the ledger.
 const settleRetryInterval = 200 * time.Millisecond
 
@@ -77,7 +84,13 @@
 	if status.Era < keeper.era || status.ClaimedAt.IsZero() {
 		return at, false
 	}
-	return later(status.ClaimedAt, keeper.takenOverAt).Add(keeper.RestoredRenewals + maxGrantLifetime(grantTTL)), true
+	began := later(status.ClaimedAt, keeper.takenOverAt)
+	at = began.Add(keeper.RestoredRenewals + maxGrantLifetime(grantTTL))
+	if !status.FollowedAt.IsZero() {
+		// Earlier processes of these VMs have ended.
+		at = earlier(at, later(began, status.FollowedAt.Add(stopMargin)).Add(maxGrantLifetime(grantTTL)))
+	}
+	return at, true
 }
 
 // checkEra settles the ledger if the store has reached a new era and that is possible.
