--- a/internal/allocator/service.go
+++ b/internal/allocator/service.go
@@ -77,6 +77,7 @@
 		created.broker.Owners = created
 	}
 	created.claim = allocator.claims[name]
+	created.known.Term = created.claim.Term
 	return created
 }
 
--- a/pkg/broker/warmup.go
+++ b/pkg/broker/warmup.go
@@ -231,7 +231,7 @@
 	if owner.Evacuated {
 		return Evacuated
 	}
-	if wait, ok := broker.warmupWait(owner, broker.countAhead(owner.ID, waiter.request.Rank), now); wait > 0 || !ok {
+	if wait, ok := broker.warmupWait(owner, broker.position(waiter), now); wait > 0 || !ok {
 		return WarmingUp
 	}
 	return reason
