Let a request that an upstream refused keep its turn

Cause: an attempt after a refusal joined the queue behind returned requests and in a new round of its key, although it had waited for its turn before.

Change: further attempts go before the other requests of their class, and returned requests no longer stretch their expected wait.

--- a/pkg/broker/classes.go
+++ b/pkg/broker/classes.go
@@ -76,7 +76,7 @@
 		}
 		if load.urgency < waiter.urgency {
 			urgent += load.offered.perSecond(now)
-		} else if !waiter.request.Returned {
+		} else if !waiter.request.Returned && !waiter.request.Retry {
 			returned += load.returned.perSecond(now)
 		}
 	}
--- a/pkg/broker/classes_test.go
+++ b/pkg/broker/classes_test.go
@@ -79,17 +79,17 @@
 	assert.Assert(t, results[1].share(results[1].inTime) >= 0.05)
 }
 
-// Guards against an order in which overflow of other services, or a request that cannot
-// meet its target, goes before the service's own requests.
+// Guards against an order in which overflow of other services goes before the service's own
+// requests, or in which a request that an upstream refused loses its turn.
 func TestOrderOfClasses(t *testing.T) {
 	clock := newFakeClock()
 	testBroker := newBroker(clock, upstreams(1, 1))
 	running, _ := pollDecision(testBroker.Submit(newRequest(1)))
-	overflow, returned := newRequest(1), newRequest(1)
-	overflow.Overflow, returned.Returned = true, true
+	overflow, returned, refused := newRequest(1), newRequest(1), newRequest(1)
+	overflow.Overflow, returned.Returned, refused.Retry = true, true, true
 	returned.Target = newRequest(1).Target + time.Minute
-	waiters := map[string]*broker.Waiter{"overflow": testBroker.Submit(overflow), "own": testBroker.Submit(newRequest(1)), "returned": testBroker.Submit(returned)}
-	for _, next := range []string{"returned", "own", "overflow"} {
+	waiters := map[string]*broker.Waiter{"overflow": testBroker.Submit(overflow), "own": testBroker.Submit(newRequest(1)), "returned": testBroker.Submit(returned), "refused": testBroker.Submit(refused)}
+	for _, next := range []string{"refused", "returned", "own", "overflow"} {
 		testBroker.Release(broker.Result{Ticket: running.Ticket, Outcome: broker.Served, Elapsed: 50 * time.Millisecond})
 		var ok bool
 		running, ok = pollDecision(waiters[next])
--- a/pkg/broker/queue.go
+++ b/pkg/broker/queue.go
@@ -43,8 +43,8 @@
 }
 
 // compareWaiters orders waiting requests. Those that can still meet their target come
-// first, by urgency, round and the time at which they are due, returned ones before new
-// ones; the others follow by urgency and arrival.
+// first: by urgency, attempts after the first before others, by round, returned ones before
+// new ones, and by the time at which they are due. The others follow by urgency and arrival.
 func compareWaiters(a, b *Waiter) int {
 	switch {
 	case a.late != b.late:
@@ -61,6 +61,11 @@
 		return 1
 	case a.overdue:
 		return cmp.Compare(a.sequence, b.sequence)
+	case a.request.Retry != b.request.Retry:
+		if a.request.Retry {
+			return -1 // it had its turn before an upstream refused it
+		}
+		return 1
 	case a.round != b.round:
 		return cmp.Compare(a.round, b.round)
 	case a.request.Returned != b.request.Returned:
