--- a/pkg/broker/queue_test.go
+++ b/pkg/broker/queue_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/cuminstream/cuminstream/pkg/broker"
 )
@@ -79,3 +80,55 @@
 	assert.Assert(t, ok && moved.Upstream.ID == "u0", "%v", moved)
 	assert.Equal(t, testBroker.QueueLength(), 0)
 }
+
+// Guards against a waiting request that is lost, decided twice, or left in a queue after
+// its decision, whatever changes its place in the order.
+func TestEachRequestIsDecidedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := newFakeClock()
+		owners := &countingOwners{upstreams: 2, overrides: map[int]string{}}
+		testBroker := &broker.Broker{Service: "s", Clock: clock, Owners: owners}
+		testBroker.SetUpstreams(upstreams(2, 2))
+		var waiting []*broker.Waiter
+		var running []uint64
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0, 1, 2, 3:
+				request := keyedRequest(rapid.IntRange(0, 4).Draw(t, "key"))
+				request.Rank, request.Target = rapid.IntRange(0, 1).Draw(t, "rank"), time.Duration(rapid.IntRange(-100, 1000).Draw(t, "target"))*time.Millisecond
+				request.Returned, request.Overflow, request.Retry = rapid.Bool().Draw(t, "returned"), rapid.Bool().Draw(t, "overflow"), rapid.Bool().Draw(t, "retry")
+				request.Timeout = 4 * time.Second
+				waiting = append(waiting, testBroker.Submit(request))
+			case 4:
+				if len(running) > 0 {
+					outcome := rapid.SampledFrom([]broker.Outcome{broker.Served, broker.Shed, broker.Interrupted}).Draw(t, "outcome")
+					testBroker.Release(broker.Result{Ticket: running[0], Outcome: outcome, Elapsed: 200 * time.Millisecond})
+					running = running[1:]
+				}
+			case 5:
+				if len(waiting) > 0 {
+					last := len(waiting) - 1
+					testBroker.Cancel(waiting[last])
+					waiting = waiting[:last]
+				}
+			case 6:
+				clock.Advance(time.Duration(rapid.IntRange(1, 300).Draw(t, "wait")) * time.Millisecond)
+			case 7:
+				owners.overrides[rapid.IntRange(0, 4).Draw(t, "moved")] = rapid.SampledFrom([]string{"u0", "u1"}).Draw(t, "owner")
+				if rapid.Bool().Draw(t, "redispatch") {
+					testBroker.Redispatch()
+				}
+			}
+			undecided := waiting[:0]
+			for _, waiter := range waiting {
+				if decision, ok := pollDecision(waiter); !ok {
+					undecided = append(undecided, waiter)
+				} else if decision.Ticket > 0 {
+					running = append(running, decision.Ticket)
+				}
+			}
+			waiting = undecided
+			assert.Equal(t, testBroker.QueueLength(), len(waiting))
+		}
+	})
+}
