Judge requests by the service time of their class

Cause: the expected end of a request took the mean service time of its upstream, which is that of the frequent, long requests. Short urgent ones were refused although they would have met their target, and the load of each class was misjudged.

Change: the service time of a class is measured as a ratio to the mean, for the service as a whole. Among 16 slots or more, the margin for the spread of service times is 1.28 instead of 0.84 standard deviations.

--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -134,11 +134,15 @@
 	queue.lateChecked = now
 	first := queue.waiting[0]
 	overloaded := broker.utilization(first.request, first.owner, now) > overloadThreshold
-	expected := forecast{serviceTime: broker.expectedServiceTime(queue).Seconds(), spread: broker.spread}
+	serviceTime := broker.expectedServiceTime(queue).Seconds()
+	expected := forecast{serviceTime: serviceTime, interval: serviceTime / max(broker.slotsOf(first, now), 1), free: 1, spread: broker.spread}
 	var late []*Waiter
 	for index, waiter := range queue.waiting {
-		if overloaded && (index == 0 || waiter.urgency != queue.waiting[index-1].urgency) {
-			expected.neededShare = broker.neededShare(waiter, now)
+		if index == 0 || waiter.urgency != queue.waiting[index-1].urgency {
+			expected.serviceTime, expected.neededShare = serviceTime*broker.ratio(waiter.urgency), 0
+			if overloaded {
+				expected.neededShare = broker.neededShare(waiter, now)
+			}
 		}
 		if waiter.late && (!overloaded || waiter.request.Returned) {
 			continue
@@ -206,6 +210,7 @@
 
 // completeForecast sets what depends on the waiting requests and on other classes.
 func (broker *Broker) completeForecast(waiter *Waiter, expected *forecast, slots float64, now time.Time) {
+	expected.serviceTime *= broker.ratio(waiter.urgency)
 	waiter.overdue = now.Add(durationOfSeconds(expected.serviceTime)).After(waiter.due())
 	waiter.late = waiter.overdue && !waiter.overloaded
 	waiter.round = broker.nextRound(waiter)
--- a/pkg/broker/broker.go
+++ b/pkg/broker/broker.go
@@ -32,8 +32,9 @@
 	lastSweep     time.Time
 	offeredLoad   rateMeter // seconds of service time that arrive
 	refusals      refusalMeter
-	classes       classLoads // of requests without a key
-	spread        float64    // of service times: square of their coefficient of variation
+	classes       classLoads         // of requests without a key
+	spread        float64            // of service times: square of their coefficient of variation
+	ratios        map[int]classRatio // by urgency
 	lastWaiter    uint64
 	returned      rateMeter // requests that callers send again
 	crashSuspects *suspecter.Table
@@ -92,7 +93,7 @@
 		broker.paths = map[zonePair]pathState{}
 		broker.queues = map[string]*queue{}
 		broker.crashSuspects = suspecter.New(broker.Clock, crashSuspectWindow)
-		broker.spread = initialSpread
+		broker.spread, broker.ratios = initialSpread, map[int]classRatio{}
 		broker.fastKeyRates.halfLife, broker.slowKeyRates.halfLife = fastHalfLife, slowHalfLife
 		if broker.Random == nil {
 			broker.Random = rand.Float64
@@ -171,7 +172,7 @@
 			serviceTime = upstream.serviceTime
 			upstream.offeredLoad.add(now, serviceTime)
 		}
-		waiter.class.offered.add(now, serviceTime)
+		waiter.class.offered.add(now, serviceTime*broker.ratio(waiter.urgency))
 	}
 	if request.Key != NoKey {
 		broker.fastKeyRates.add(request.Key, now)
@@ -219,7 +220,7 @@
 			broker.discountRefused(ticket, now)
 		}
 	case Served:
-		broker.recordSpread(ticket.upstream, result.Elapsed)
+		broker.recordServiceTime(ticket, result.Elapsed)
 	default:
 	}
 	broker.recordPathResult(ticket.zone, ticket.upstream, result.Outcome, now)
--- a/pkg/broker/classes.go
+++ b/pkg/broker/classes.go
@@ -16,7 +16,11 @@
 	// are needed. Four of five such requests are in time, while the queue keeps enough
 	// of them to fill the slots.
 	inTimeQuantile = 0.84
-	fullOverload   = 1.2
+	// manySlotsQuantile is the same for the slots of a whole service, from manySlots on,
+	// whose queue is long enough for nine of ten.
+	manySlotsQuantile = 1.28
+	manySlots         = 16
+	fullOverload      = 1.2
 	// starvedShare is the share of the slots that more urgent classes need from which on
 	// a class gets its minimum share.
 	starvedShare = 1 - 1.0/reservedInterval
@@ -34,8 +38,12 @@
 	// initialSpread is the assumed square of the coefficient of variation of service
 	// times, that of a lognormal factor with sigma 0.55.
 	initialSpread = 0.35
-	// spreadWeight is the weight of the newest sample in the spread.
+	// spreadWeight and ratioWeight are the weights of the newest sample in the spread and in
+	// the ratio of a class.
 	spreadWeight = 0.01
+	ratioWeight  = 0.01
+	// minRatio bounds the ratio by which a measurement is divided.
+	minRatio = 0.1
 )
 
 // urgency orders the classes of a service; 0 is the most urgent. Requests that reach the
@@ -112,15 +120,35 @@
 	return &broker.classes
 }
 
-// recordSpread updates the spread of service times.
-func (broker *Broker) recordSpread(upstream *upstreamState, elapsed time.Duration) {
-	deviation := min(elapsed.Seconds()/max(upstream.expectedServiceTime(), 0.001), maxMeasuredRatio) - 1
-	broker.spread += spreadWeight * (deviation*deviation - broker.spread)
+// ratio returns the mean service time of the requests of an urgency, divided by the mean of
+// all requests.
+func (broker *Broker) ratio(urgency int) float64 {
+	if ratio, ok := broker.ratios[urgency]; ok {
+		return ratio.mean
+	}
+	return 1
+}
+
+// classRatio is the measured service time of a class, divided by the mean of all requests.
+type classRatio struct {
+	mean    float64
+	samples int
+}
+
+// recordServiceTime updates the ratio of the class and the spread of service times.
+func (broker *Broker) recordServiceTime(ticket *ticket, elapsed time.Duration) {
+	measured := min(elapsed.Seconds()/max(ticket.upstream.expectedServiceTime(), 0.001), maxMeasuredRatio)
+	ratio := broker.ratio(ticket.class.urgency)
+	deviation := measured/max(ratio, minRatio) - 1
+	broker.spread += spreadWeight * (min(deviation*deviation, maxMeasuredRatio) - broker.spread)
+	samples := broker.ratios[ticket.class.urgency].samples + 1
+	weight := max(ratioWeight, 1/float64(samples+2))
+	broker.ratios[ticket.class.urgency] = classRatio{ratio + weight*(measured-ratio), samples}
 }
 
 // forecast is the expected course of a request that joins the queue.
 type forecast struct {
-	serviceTime float64 // mean, in seconds
+	serviceTime float64 // mean of the class, in seconds
 	interval    float64 // mean time in seconds between the ends of requests in the slots
 	free        int     // slots; below 0 if more requests run than there are slots
 	ahead       int     // requests that get a slot before
@@ -145,7 +173,11 @@
 	limit := maxAheadShare + (maxOverloadedAheadShare-maxAheadShare)*overloadDegree(forecast.urgentShare)
 	wait := forecast.wait() / (1 - min(forecast.urgentShare+forecast.returnedShare, limit))
 	variance := forecast.spread * (forecast.steps()*forecast.interval*forecast.interval + forecast.serviceTime*forecast.serviceTime)
-	return wait + forecast.serviceTime + inTimeQuantile*overloadDegree(forecast.neededShare)*math.Sqrt(variance)
+	quantile := inTimeQuantile
+	if manySlots*forecast.interval <= forecast.serviceTime {
+		quantile = manySlotsQuantile
+	}
+	return wait + forecast.serviceTime + quantile*overloadDegree(forecast.neededShare)*math.Sqrt(variance)
 }
 
 // overloadDegree is 0 without overload and 1 from fullOverload on. With it grows the margin
--- a/pkg/broker/classes_test.go
+++ b/pkg/broker/classes_test.go
@@ -71,6 +71,15 @@
 	assert.Assert(t, results[0].inTime >= 600, "the hot key gets the other slots: %d requests in time", results[0].inTime)
 }
 
+// Guards against refusing short urgent requests because the mean service time, that of the
+// long ones beside them, would not meet their target.
+func TestShortRequestsBesideLongOnes(t *testing.T) {
+	short := evenCallers(0, 40, 90*time.Millisecond, 400*time.Millisecond, 2*time.Second, 12)
+	long := evenCallers(1, 220, 300*time.Millisecond, 1200*time.Millisecond, 4*time.Second, 12)
+	results := playUniform(t, 12, time.Minute, nil, short, long)
+	assert.Assert(t, results[0].share(results[0].inTime) >= 0.95)
+}
+
 // Guards against starving a class while more urgent ones need all slots.
 func TestMinimumShareOfAClass(t *testing.T) {
 	urgent := evenCallers(0, 600, 165*time.Millisecond, 800*time.Millisecond, 4*time.Second, 12)
--- a/pkg/broker/refusals.go
+++ b/pkg/broker/refusals.go
@@ -85,7 +85,7 @@
 	if broker.Owners == nil {
 		ownMean = mean
 	}
-	ticket.class.offered.subtract(now, ownMean)
+	ticket.class.offered.subtract(now, ownMean*broker.ratio(ticket.class.urgency))
 }
 
 // subtract removes an amount that was added before.
