--- a/pkg/broker/classes_test.go
+++ b/pkg/broker/classes_test.go
@@ -71,6 +71,15 @@
 	assert.Assert(t, results[0].inTime >= 600, "the hot key gets the other slots: %d requests in time", results[0].inTime)
 }
 
+// Guards against refusing short urgent requests because the mean service time, that of the
+// long ones beside them, would not meet their target.
+func TestShortRequestsBesideLongOnes(t *testing.T) {
+	short := evenCallers(0, 40, 90*time.Millisecond, 400*time.Millisecond, 2*time.Second, 12)
+	long := evenCallers(1, 220, 300*time.Millisecond, 1200*time.Millisecond, 4*time.Second, 12)
+	results := playUniform(t, 12, time.Minute, nil, short, long)
+	assert.Assert(t, results[0].share(results[0].inTime) >= 0.95)
+}
+
 // Guards against starving a class while more urgent ones need all slots.
 func TestMinimumShareOfAClass(t *testing.T) {
 	urgent := evenCallers(0, 600, 165*time.Millisecond, 800*time.Millisecond, 4*time.Second, 12)
@@ -79,17 +88,17 @@
 	assert.Assert(t, results[1].share(results[1].inTime) >= 0.05)
 }
 
-// Guards against an order in which overflow of other services, or a request that cannot
-// meet its target, goes before the service's own requests.
+// Guards against an order in which overflow of other services goes before the service's own
+// requests, or in which a request that an upstream refused loses its turn.
 func TestOrderOfClasses(t *testing.T) {
 	clock := newFakeClock()
 	testBroker := newBroker(clock, upstreams(1, 1))
 	running, _ := pollDecision(testBroker.Submit(newRequest(1)))
-	overflow, returned := newRequest(1), newRequest(1)
-	overflow.Overflow, returned.Returned = true, true
+	overflow, returned, refused := newRequest(1), newRequest(1), newRequest(1)
+	overflow.Overflow, returned.Returned, refused.Retry = true, true, true
 	returned.Target = newRequest(1).Target + time.Minute
-	waiters := map[string]*broker.Waiter{"overflow": testBroker.Submit(overflow), "own": testBroker.Submit(newRequest(1)), "returned": testBroker.Submit(returned)}
-	for _, next := range []string{"returned", "own", "overflow"} {
+	waiters := map[string]*broker.Waiter{"overflow": testBroker.Submit(overflow), "own": testBroker.Submit(newRequest(1)), "returned": testBroker.Submit(returned), "refused": testBroker.Submit(refused)}
+	for _, next := range []string{"refused", "returned", "own", "overflow"} {
 		testBroker.Release(broker.Result{Ticket: running.Ticket, Outcome: broker.Served, Elapsed: 50 * time.Millisecond})
 		var ok bool
 		running, ok = pollDecision(waiters[next])
