Let requests without a key wait while all upstreams are paused

Cause: while all upstreams were paused after refusals, for 40 to 320 ms, requests without a key were refused as unavailable for about a second. Requests with a key waited for the end of the pause.

Change: the expected wait then includes the shortest pause that is left.

--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -190,24 +190,45 @@
 	if broker.keyed(request) {
 		return broker.estimateKeyed(waiter, now)
 	}
-	slots, free, rate := 0, 0, 0.0
+	usable, paused, pauseLeft := pool{}, pool{}, maxShedPause
 	for _, upstream := range broker.upstreams {
-		if upstream.Draining || !broker.eligible(upstream, request, now) {
-			continue
+		left := upstream.pausedUntil.Sub(now)
+		switch {
+		case upstream.Draining:
+		case broker.eligible(upstream, request, now):
+			usable.add(upstream)
+		case left > 0 && left <= maxShedPause && broker.eligible(upstream, request, upstream.pausedUntil):
+			paused.add(upstream)
+			pauseLeft = min(pauseLeft, left)
 		}
-		slots += upstream.slotLimit
-		free += max(upstream.freeSlots(), 0)
-		rate += float64(upstream.slotLimit) / upstream.expectedServiceTime()
 	}
-	if slots == 0 {
+	expected = forecast{spread: broker.spread}
+	switch {
+	case usable.slots > 0:
+	case paused.slots > 0:
+		usable, expected.delay = paused, pauseLeft.Seconds()
+	default:
 		end, busy := broker.busyEnd(request, waiter.owner, now)
-		return forecast{delay: end.Sub(now).Seconds(), serviceTime: broker.meanServiceTime(), spread: broker.spread}, busy
+		expected.delay, expected.serviceTime = end.Sub(now).Seconds(), broker.meanServiceTime()
+		return expected, busy
 	}
-	expected = forecast{serviceTime: float64(slots) / rate, interval: 1 / rate, free: free, spread: broker.spread}
-	broker.completeForecast(waiter, &expected, float64(slots), now)
+	expected.serviceTime, expected.interval, expected.free = float64(usable.slots)/usable.rate, 1/usable.rate, usable.free
+	broker.completeForecast(waiter, &expected, float64(usable.slots), now)
 	return expected, true
 }
 
+// pool sums up the upstreams that can serve a request without a key.
+type pool struct {
+	slots, free int
+	rate        float64 // requests per second that end if all slots are in use
+}
+
+func (pool *pool) add(upstream *upstreamState) {
+	pool.slots += upstream.slotLimit
+	pool.free += max(upstream.freeSlots(), 0)
+	pool.rate += float64(upstream.slotLimit) / upstream.expectedServiceTime()
+}
+
 // completeForecast sets what depends on the waiting requests and on other classes.
 func (broker *Broker) completeForecast(waiter *Waiter, expected *forecast, slots float64, now time.Time) {
 	expected.serviceTime *= broker.ratio(waiter.urgency)
--- a/pkg/broker/refusals_test.go
+++ b/pkg/broker/refusals_test.go
@@ -75,3 +75,20 @@
 		assert.Equal(t, decision.Ticket > 0, !full)
 	}
 }
+
+// Guards against refusing requests for a second because all upstreams are paused for a
+// moment: they can wait for the end of the pause.
+func TestRequestWaitsWhileAllUpstreamsArePaused(t *testing.T) {
+	clock := newFakeClock()
+	testBroker := newBroker(clock, upstreams(2, 1))
+	for _, id := range []string{"u0", "u1", "u1", "u1"} {
+		testBroker.RecordResult(id, "vm", "a", broker.Result{Outcome: broker.Shed})
+	}
+	waiter := testBroker.Submit(newRequest(0))
+	decision, ok := pollDecision(waiter)
+	assert.Assert(t, !ok, "%v", decision)
+	clock.Advance(50 * time.Millisecond)
+	testBroker.Redispatch()
+	decision, ok = pollDecision(waiter)
+	assert.Assert(t, ok && decision.Ticket > 0)
+}
