--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -41,3 +41,13 @@
 	assert.Equal(t, skipped, 2)
 	assert.Equal(t, lines[0].VM, "a")
 }
+
+// Guards against an explanation of a refusal that leaves out the rule of admission.
+func TestRefusalNamesItsRule(t *testing.T) {
+	lines, _, err := explainer.Read(strings.NewReader(
+		`{"time":"2026-12-06T21:00:00.1Z","msg":"slot","vm":"a","id":"x","service":"s","refused":"overloaded","rule":"displaced","retryAfterMs":120.5}`))
+	assert.NilError(t, err)
+	var output strings.Builder
+	assert.NilError(t, explainer.Explain(lines, "x").Write(&output))
+	assert.Equal(t, output.String(), "21:00:00.100 a slot refused=overloaded retryAfterMs=120.5 rule=displaced service=s\n")
+}
