Send cold upstreams some requests under light load

A cold upstream of a service without keys is expected to take twice as long, and got nothing while others had free slots.

--- a/pkg/broker/dispatch.go
+++ b/pkg/broker/dispatch.go
@@ -143,19 +143,20 @@
 		}
 		return available[0]
 	}
-	best := broker.cheapest(request, available, now, func(upstream *upstreamState) bool { return upstream.Zone == request.Zone })
+	best := broker.cheapest(waiter, available, now, func(upstream *upstreamState) bool { return upstream.Zone == request.Zone })
 	if best != nil && meetsTarget(best, waiter, now) {
 		return best
 	}
 	if !broker.mayCrossZones(waiter, now) {
 		return nil
 	}
-	return broker.cheapest(request, available, now, func(*upstreamState) bool { return true })
+	return broker.cheapest(waiter, available, now, func(*upstreamState) bool { return true })
 }
 
 // cheapest returns the upstream with the lowest cost among those that are eligible for
 // the request and pass the filter.
-func (broker *Broker) cheapest(request Request, available []*upstreamState, now time.Time, filter func(upstream *upstreamState) bool) *upstreamState {
+func (broker *Broker) cheapest(waiter *Waiter, available []*upstreamState, now time.Time, filter func(upstream *upstreamState) bool) *upstreamState {
+	request := waiter.request
 	var best *upstreamState
 	bestCost := 0.0
 	for _, upstream := range available {
@@ -163,6 +164,9 @@
 			continue
 		}
 		cost := upstream.cost(now) * broker.localMode.costFactor(upstream.ID)
+		if broker.needsFirstRequest(upstream, now) && meetsTarget(upstream, waiter, now) {
+			cost = 0
+		}
 		if upstream.Zone != request.Zone {
 			cost += crossZoneCost
 		}
--- a/pkg/broker/warmup.go
+++ b/pkg/broker/warmup.go
@@ -237,9 +237,17 @@
 	return reason
 }
 
+// needsFirstRequest reports whether the upstream is cold and has got no request for a while.
+// It gets the next one that it can serve in time, although others are faster: cold upstreams
+// get work from the first second on, and their speed is measured by it. In local mode, all
+// VMs would do so at once.
+func (broker *Broker) needsFirstRequest(upstream *upstreamState, now time.Time) bool {
+	return broker.localMode.vms <= 1 && upstream.cold(now) && len(upstream.sent.recent(now)) == 0
+}
+
 // recordSent counts a request that is assigned to the upstream.
 func (broker *Broker) recordSent(upstream *upstreamState, now time.Time) {
-	if broker.warmup.bound.PerSecond > 0 {
+	if broker.warmup.bound.PerSecond > 0 || upstream.cold(now) {
 		upstream.sent = upstream.sent.add(now)
 	}
 }
--- a/pkg/broker/warmup_test.go
+++ b/pkg/broker/warmup_test.go
@@ -234,3 +234,32 @@
 	bounded.Release(broker.Result{Ticket: decision.Ticket, Outcome: broker.Served, Elapsed: 100 * time.Millisecond, Warmup: time.Second})
 	assert.Equal(t, cold(), 1)
 }
+
+// Load: few requests without keys, while all upstreams have free slots and one has just
+// returned. It must get some work from its first second on, but not from callers whose
+// request it would serve late.
+func TestColdUpstreamGetsWorkUnderLightLoad(t *testing.T) {
+	clock := newFakeClock()
+	list := upstreams(4, 4)
+	bounded := newBoundedBroker(clock, list[:3], nil)
+	for range 20 {
+		bounded.RecordResult("u0", "vm", "a", broker.Result{Outcome: broker.Served, Elapsed: 100 * time.Millisecond})
+	}
+	bounded.SetUpstreams(list)
+	for _, target := range []time.Duration{300 * time.Millisecond, time.Second} {
+		counts := map[string]int{}
+		for range 20 {
+			request := newRequest(1)
+			request.Target = target
+			decision, _ := pollDecision(bounded.Submit(request))
+			counts[decision.Upstream.ID]++
+			bounded.Release(broker.Result{Ticket: decision.Ticket, Outcome: broker.Abandoned})
+			clock.Advance(50 * time.Millisecond)
+		}
+		want := 0
+		if target == time.Second {
+			want = 1
+		}
+		assert.Equal(t, counts["u3"], want, "target %v: %v", target, counts)
+	}
+}
