--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cuminstream/cuminstream/internal/accountant"
@@ -154,8 +155,10 @@
 	componentsCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopComponents()
 	group, componentsCtx := errgroup.WithContext(componentsCtx)
-	readyServer := &http.Server{Handler: http.HandlerFunc(edge.serveReady), ReadHeaderTimeout: time.Second}
-	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
+	readyServer := newReadyServer(http.HandlerFunc(edge.serveReady))
+	group.Go(func() error {
+		return ignoreServerClosed(readyServer.Serve(netutil.LimitListener(readyListener, maxReadyConnections)))
+	})
 	group.Go(func() error { return edge.runLinks(componentsCtx, ctx, linkListener) })
 	if edge.MetricsListen != "" {
 		group.Go(func() error { return edge.serveMetrics(componentsCtx) })
--- a/internal/fronter/body.go
+++ b/internal/fronter/body.go
@@ -90,8 +90,12 @@
 // fullyRead reports whether the body was read up to EOF.
 func (body *requestBody) fullyRead() bool { return body.complete.Load() }
 
-// evict makes reads fail, and interrupts a blocked one.
+// evict makes reads fail, and interrupts a blocked one. It does nothing if the whole body has
+// been read: the connection may be reading the next request.
 func (body *requestBody) evict() {
+	if body.complete.Load() {
+		return
+	}
 	body.evicted.Store(true)
 	_ = body.conn.netConn.SetReadDeadline(time.Unix(1, 0))
 }
--- a/internal/fronter/connection.go
+++ b/internal/fronter/connection.go
@@ -64,6 +64,7 @@
 	holder     *accountant.Holder
 	headCost   int64
 	body       *requestBody
+	restClosed sync.Once
 }
 
 func newConnection(server *Server, accepted net.Conn) *connection {
@@ -234,7 +235,8 @@
 		}
 	}
 	conn.server.Log.Info("failed to read request", "caller", conn.netConn.RemoteAddr().String(), "status", status, "error", err.Error())
-	exchange := &exchange{closeAfter: true, holder: conn.newHolder()}
+	exchange := conn.newExchange()
+	exchange.closeAfter = true
 	conn.mutex.Lock()
 	conn.reading = false
 	conn.pending = append(conn.pending, exchange)
@@ -256,7 +258,7 @@
 	var body *requestBody
 	if message.Body != nil && message.Body != http.NoBody {
 		body = newRequestBody(conn, message, exchange.holder, limits.BodyBytes)
-		request.Body, exchange.body = body, body
+		request.Body = body
 	} else {
 		request.ContentLength = 0
 	}
@@ -269,7 +271,7 @@
 		exchange.release()
 		return false
 	}
-	conn.reading = false
+	conn.reading, exchange.body = false, body
 	conn.pending = append(conn.pending, exchange)
 	conn.pendingCost += exchange.headCost
 	conn.limited.Remaining = limiter.Unlimited
--- a/internal/fronter/head.go
+++ b/internal/fronter/head.go
@@ -65,7 +65,7 @@
 // admitRequest reads the head of a request into the connection's buffer and reserves what it
 // costs when it is parsed. The head is still in the buffer then.
 func (conn *connection) admitRequest(limits Limits) (*exchange, error) {
-	exchange := &exchange{holder: conn.newHolder()}
+	exchange := conn.newExchange()
 	size, lines, err := conn.bufferHead(limits)
 	if err != nil {
 		return exchange, err
--- a/internal/fronter/holding.go
+++ b/internal/fronter/holding.go
@@ -27,37 +27,41 @@
 	return received + sent
 }
 
-// newHolder returns the holder of one request of the connection and its response.
-func (conn *connection) newHolder() *accountant.Holder {
-	return conn.server.Account.NewHolder(conn.address, conn.evict, nil)
+// newExchange returns the state of a request that is about to be read.
+func (conn *connection) newExchange() *exchange {
+	exchange := &exchange{}
+	exchange.holder = conn.server.Account.NewHolder(conn.address, func(activity accountant.Activity) { conn.evict(exchange, activity) }, nil)
+	return exchange
 }
 
-// evict ends what a request of the connection waits for. An upload that has not reached an
-// upstream gets a response; a caller that does not read its responses gets none.
-func (conn *connection) evict(activity accountant.Activity) {
+// evict ends what a request waits for. An upload that has not reached an upstream gets a
+// response; a caller that does not read its responses gets none.
+func (conn *connection) evict(exchange *exchange, activity accountant.Activity) {
 	if activity != accountant.Uploading {
 		conn.abort()
 		return
 	}
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	for _, exchange := range conn.pending {
-		// At most one body of a connection is being read.
-		if exchange.body != nil && exchange.response == nil {
-			exchange.body.evict()
-		}
+	if exchange.body != nil {
+		exchange.body.evict()
 	}
 }
 
 // release gives up what a request and its response hold. It is the only exit of a request,
 // and may be called again.
 func (exchange *exchange) release() {
-	if response := exchange.response; response != nil && response.Rest != nil {
-		_ = response.Rest.Close()
+	if exchange.response != nil && exchange.response.Rest != nil {
+		exchange.closeRest()
 	}
 	exchange.holder.Close()
 }
 
+// closeRest closes the rest of the response once. It may be called concurrently.
+func (exchange *exchange) closeRest() {
+	exchange.restClosed.Do(func() { _ = exchange.response.Rest.Close() })
+}
+
 // dropPending releases the pending requests that have a response. The others are released
 // when they get one. The mutex is held.
 func (conn *connection) dropPending() {
--- a/internal/fronter/spool.go
+++ b/internal/fronter/spool.go
@@ -1,7 +1,6 @@
 package fronter
 
 import (
-	"io"
 	"sync"
 
 	"github.com/cuminstream/cuminstream/internal/accountant"
@@ -11,9 +10,7 @@
 // far as the account allows. An upstream cuts off a response that stays unread for some
 // seconds, and its slot is taken until then.
 type spool struct {
-	holder *accountant.Holder
-	source io.ReadCloser
-	closed sync.Once
+	exchange *exchange
 
 	mutex   sync.Mutex
 	changed *sync.Cond // signals any change of the fields below
@@ -26,19 +23,16 @@
 // minSpooled is the number of blocks that are read whatever the account allows.
 const minSpooled = 2
 
-func newSpool(holder *accountant.Holder, source io.ReadCloser) *spool {
-	spool := &spool{holder: holder, source: source}
+func newSpool(exchange *exchange) *spool {
+	spool := &spool{exchange: exchange}
 	spool.changed = sync.NewCond(&spool.mutex)
 	return spool
 }
 
-// closeSource releases the upstream's connection and slot.
-func (spool *spool) closeSource() { spool.closed.Do(func() { _ = spool.source.Close() }) }
-
 // fill reads the source until its end, an error or stop.
 func (spool *spool) fill() {
 	defer func() {
-		spool.closeSource()
+		spool.exchange.closeRest()
 		spool.mutex.Lock()
 		defer spool.mutex.Unlock()
 		spool.filled = true
@@ -49,7 +43,7 @@
 		if buffer == nil {
 			buffer = make([]byte, copyBufferSize)
 		}
-		n, err := spool.source.Read(buffer)
+		n, err := spool.exchange.response.Rest.Read(buffer)
 		spool.mutex.Lock()
 		if n > 0 && !spool.join(buffer[:n]) {
 			spool.blocks = append(spool.blocks, buffer[:n])
@@ -72,7 +66,7 @@
 		return false
 	}
 	spool.blocks[last] = append(spool.blocks[last], data...)
-	spool.holder.Release(accountant.Responses, copyBufferSize)
+	spool.exchange.holder.Release(accountant.Responses, copyBufferSize)
 	return true
 }
 
@@ -82,10 +76,10 @@
 	defer spool.mutex.Unlock()
 	for !spool.stopped {
 		if len(spool.blocks) < minSpooled {
-			spool.holder.Force(accountant.Responses, copyBufferSize)
+			spool.exchange.holder.Force(accountant.Responses, copyBufferSize)
 			return true
 		}
-		if spool.holder.Reserve(accountant.Responses, copyBufferSize) == "" {
+		if spool.exchange.holder.Reserve(accountant.Responses, copyBufferSize) == "" {
 			return true
 		}
 		spool.changed.Wait() // the caller reads
@@ -105,7 +99,7 @@
 	}
 	block := spool.blocks[0]
 	spool.blocks[0], spool.blocks = nil, spool.blocks[1:]
-	spool.holder.Release(accountant.Responses, copyBufferSize)
+	spool.exchange.holder.Release(accountant.Responses, copyBufferSize)
 	spool.changed.Broadcast()
 	return block, nil
 }
@@ -116,7 +110,7 @@
 	spool.stopped = true
 	spool.changed.Broadcast()
 	spool.mutex.Unlock()
-	spool.closeSource()
+	spool.exchange.closeRest()
 	spool.mutex.Lock()
 	defer spool.mutex.Unlock()
 	for !spool.filled {
--- a/internal/fronter/write.go
+++ b/internal/fronter/write.go
@@ -110,7 +110,7 @@
 // read off the upstream's connection while the caller reads what came before.
 func (conn *connection) writeRest(header *bytes.Buffer, exchange *exchange, chunked bool) bool {
 	response := exchange.response
-	spool := newSpool(exchange.holder, response.Rest)
+	spool := newSpool(exchange)
 	conn.server.group.Go(func() error {
 		spool.fill()
 		return nil
