Adapt the first request of cold upstreams to the members in local mode

Change: the number of VMs is that of the members. Result: builds; the tests of pkg, allocator, courier, fronter and keeper pass.

--- a/pkg/broker/warmup.go
+++ b/pkg/broker/warmup.go
@@ -242,7 +242,7 @@
 // get work from the first second on, and their speed is measured by it. In local mode, all
 // VMs would do so at once.
 func (broker *Broker) needsFirstRequest(upstream *upstreamState, now time.Time) bool {
-	return broker.localMode.vms <= 1 && upstream.cold(now) && len(upstream.sent.recent(now)) == 0
+	return len(broker.localMode.members) <= 1 && upstream.cold(now) && len(upstream.sent.recent(now)) == 0
 }
 
 // recordSent counts a request that is assigned to the upstream.
