Count the capacity of cold upstreams in the unit of the offered load

The capacity used the expected service time of a cold upstream, the offered load the measured mean, so that the utilization of a cold upstream was up to half of the real one. A test with twice the bound's load checks that requests are refused rather than served late; it passes before the change too.

--- a/pkg/broker/capacity.go
+++ b/pkg/broker/capacity.go
@@ -15,11 +15,12 @@
 }
 
 // capacityOf returns the seconds of service time per second of the upstream. Each slot does
-// one second of service time per second; the warm-up bound may allow fewer requests.
+// one second of service time per second; the warm-up bound may allow fewer requests. These
+// count with the service time by which the offered load is counted.
 func (broker *Broker) capacityOf(upstream *upstreamState, now time.Time) float64 {
 	slots := float64(upstream.Slots)
 	if bound := broker.warmup.bound.PerSecond; bound > 0 && upstream.cold(now) {
-		return min(slots, max(brokerWarmupShare*bound*upstream.serviceTimeAt(now), minCapacity))
+		return min(slots, max(warmupRate(bound)*upstream.serviceTime, minCapacity))
 	}
 	return slots
 }
--- a/pkg/broker/speed.go
+++ b/pkg/broker/speed.go
@@ -174,7 +174,7 @@
 	}
 	capacity /= broker.model.coldSlowness
 	if bound := broker.warmup.bound.PerSecond; bound > 0 {
-		capacity = min(capacity, max(float64(brokerWarmupLimit(bound))/warmupWindow.Seconds(), minCapacity))
+		capacity = min(capacity, max(warmupRate(bound), minCapacity))
 	}
 	return capacity
 }
--- a/pkg/broker/warmup.go
+++ b/pkg/broker/warmup.go
@@ -132,6 +132,11 @@
 	return max(int(brokerWarmupShare*bound), min(int(bound), 1))
 }
 
+// warmupRate returns how many requests per second the broker may assign to a cold upstream.
+func warmupRate(bound float64) float64 {
+	return float64(brokerWarmupLimit(bound)) / warmupWindow.Seconds()
+}
+
 // localWarmupLimit returns the share of a VM in the total limit of an upstream. A total
 // that is not a multiple of the number of VMs is shared by a hash: all VMs agree on it
 // without a call, and each VM has the same share over all upstreams.
--- a/pkg/broker/warmup_test.go
+++ b/pkg/broker/warmup_test.go
@@ -263,3 +263,49 @@
 		assert.Equal(t, counts["u3"], want, "target %v: %v", target, counts)
 	}
 }
+
+// Load: 20 requests per second for 4 s for the keys of a cold upstream, twice its bound.
+// Those that could only be served after their objective are refused, not served late.
+func TestExcessForColdUpstreamIsNotServedLate(t *testing.T) {
+	clock := newFakeClock()
+	list := upstreams(1, 4)
+	bounded := newBoundedBroker(clock, list, fixedOwners{1: {Upstream: "u0", Held: true}})
+	bounded.SetWarmupBound(broker.WarmupBound{Duration: 5 * time.Second, PerSecond: 13})
+	list[0].Warmup, list[0].CheckIn = 5*time.Second, 1
+	bounded.SetUpstreams(list)
+	request := newRequest(1)
+	request.Key, request.Target, request.Timeout = 1, 800*time.Millisecond, 4*time.Second
+	type waiting struct {
+		waiter  *broker.Waiter
+		arrived time.Time
+	}
+	var queue []waiting
+	running := map[uint64]time.Time{}
+	served, late := 0, 0
+	for step := range 160 {
+		if step%2 == 0 {
+			queue = append(queue, waiting{bounded.Submit(request), clock.Now()})
+		}
+		for ticket, end := range running {
+			if !clock.Now().Before(end) {
+				delete(running, ticket)
+				bounded.Release(broker.Result{Ticket: ticket, Outcome: broker.Served, Elapsed: 200 * time.Millisecond})
+			}
+		}
+		bounded.Redispatch()
+		queue = slices.DeleteFunc(queue, func(entry waiting) bool {
+			decision, ok := pollDecision(entry.waiter)
+			if ok && decision.Ticket > 0 {
+				running[decision.Ticket] = clock.Now().Add(200 * time.Millisecond)
+				served++
+				if clock.Now().Sub(entry.arrived) > 600*time.Millisecond {
+					late++
+				}
+			}
+			return ok
+		})
+		clock.Advance(25 * time.Millisecond)
+	}
+	assert.Assert(t, served >= 24, "%d requests served", served)
+	assert.Assert(t, late <= served/10, "%d of %d requests served late", late, served)
+}
