Do not count reads ahead as refusals, and search for idle connections less often

Cause: a response that waits for room to be read ahead counted as refused. While connections are at their bound and none is idle, each new one looked at all of them.

Change: TryReserve counts nothing; after a search without result the next one is 20 ms later.

--- a/internal/accountant/account.go
+++ b/internal/accountant/account.go
@@ -103,11 +103,6 @@
 	}
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
-	account.countRefusal(reason)
-}
-
-// countRefusal records a refusal. The mutex is held.
-func (account *Account) countRefusal(reason Reason) {
 	account.refused[reason]++
 	account.Metrics.countRefusal(reason)
 }
--- a/internal/accountant/holder.go
+++ b/internal/accountant/holder.go
@@ -72,6 +72,15 @@
 // Reserve adds bytes to what it holds. If a bound does not allow that, it changes nothing
 // and returns the bound; otherwise it returns "".
 func (holder *Holder) Reserve(use Use, bytes int64) Reason {
+	reason := holder.TryReserve(use, bytes)
+	if reason != "" {
+		holder.account.CountRefusal(reason)
+	}
+	return reason
+}
+
+// TryReserve is Reserve for bytes without which nothing is refused: it counts no refusal.
+func (holder *Holder) TryReserve(use Use, bytes int64) Reason {
 	if holder == nil {
 		return ""
 	}
@@ -95,7 +104,6 @@
 		reason = ReasonAddress
 	}
 	if reason != "" {
-		account.countRefusal(reason)
 		return reason
 	}
 	holder.add(use, bytes)
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -104,7 +104,9 @@
 	stopping    atomic.Bool
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
-	group       errgroup.Group
+	// idleSearched is when no idle connection was found last.
+	idleSearched time.Time
+	group        errgroup.Group
 }
 
 const (
@@ -116,6 +118,9 @@
 	// idleCloseDivisor is the part of the connections, the last sixteenth, in which each new
 	// one closes an idle one: closing takes up to lingerTimeout.
 	idleCloseDivisor = 16
+	// idleSearchInterval is the pause after a search without result, which looks at all
+	// connections, while callers open one after the other.
+	idleSearchInterval = 20 * time.Millisecond
 )
 
 // Run serves connections until ctx is cancelled, then shuts down gracefully: it
@@ -227,7 +232,11 @@
 // longestIdle returns the connection that has had no request for longest, or nil. The mutex
 // is held.
 func (server *Server) longestIdle() (longest *connection) {
-	since := server.Clock.Now().Add(-minIdle)
+	now := server.Clock.Now()
+	if now.Sub(server.idleSearched) < idleSearchInterval {
+		return nil
+	}
+	since := now.Add(-minIdle)
 	for conn := range server.connections {
 		conn.mutex.Lock()
 		if len(conn.pending) == 0 && !conn.reading && !conn.closing && conn.idleSince.Before(since) {
@@ -235,5 +244,8 @@
 		}
 		conn.mutex.Unlock()
 	}
+	if longest == nil {
+		server.idleSearched = now
+	}
 	return longest
 }
--- a/internal/fronter/spool.go
+++ b/internal/fronter/spool.go
@@ -79,7 +79,7 @@
 			spool.exchange.holder.Force(accountant.Responses, copyBufferSize)
 			return true
 		}
-		if spool.exchange.holder.Reserve(accountant.Responses, copyBufferSize) == "" {
+		if spool.exchange.holder.TryReserve(accountant.Responses, copyBufferSize) == "" {
 			return true
 		}
 		spool.changed.Wait() // the caller reads
