--- a/internal/edger/listen.go
+++ b/internal/edger/listen.go
@@ -34,14 +34,19 @@
 // grows to several MB.
 func (edge *Edge) listenForCallers(ctx context.Context) (net.Listener, error) {
 	size := accountant.SocketBuffer(edge.MemoryBytes)
-	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) (err error) {
-		controlErr := conn.Control(func(fd uintptr) {
-			err = errors.Join(
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		var buffersErr error
+		err := conn.Control(func(fd uintptr) {
+			buffersErr = errors.Join(
 				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size),
 				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size),
 			)
 		})
-		return errors.Join(err, controlErr)
+		if buffersErr != nil {
+			// Callers can be served with larger buffers too.
+			edge.Log.Warn("failed to bound the buffers of callers' sockets", "bytes", size, "error", buffersErr.Error())
+		}
+		return err
 	}}
 	return config.Listen(ctx, "tcp", edge.CallerListen)
 }
