Look at both holders of a key at the same moment in the soak test

Cause: the stand-in checked that it holds a key, and then whether another one does. Change: the check takes both locks. Two upstreams that hold a key at one moment are found as before.

--- a/internal/standin/soaker/upstream.go
+++ b/internal/standin/soaker/upstream.go
@@ -199,8 +199,22 @@
 	all := append([]*Upstream(nil), upstream.holders.all...)
 	upstream.holders.mutex.Unlock()
 	for _, other := range all {
-		if other != upstream && other.holds(key) {
+		if other != upstream && bothHold(upstream, other, key) {
 			upstream.judge.overlap(key, upstream.ID, other.ID)
 		}
 	}
 }
+
+// bothHold reports whether both upstreams hold the key at the same moment. Looked at one
+// after the other, a key that has moved in between would seem to be held by both.
+func bothHold(a, b *Upstream, key int) bool {
+	if a.ID > b.ID || (a.ID == b.ID && a.born > b.born) {
+		a, b = b, a // all callers take the locks in the same order
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := time.Now()
+	return now.Before(a.until[key]) && now.Before(b.until[key])
+}
