--- a/internal/allocator/era_test.go
+++ b/internal/allocator/era_test.go
@@ -274,7 +274,7 @@
 // former one, which is reachable again at the restore. Guards against the two brokers both
 // granting, each by its own era.
 func TestRestoreOfAFormerBroker(t *testing.T) {
-	for _, successorLost := range []bool{false, true} {
+	for _, fate := range []string{"stays", "lost", "all others restarted"} { // of the successor
 		for _, partitioned := range []time.Duration{2 * time.Second, 6 * time.Second, 20 * time.Second} {
 			runRestore(t, 1, func(t *testing.T, system *system, vms []*vm) {
 				former := named(vms, system.claim(t, "keyed").Broker)
@@ -283,10 +283,22 @@
 				time.Sleep(partitioned)
 				moveKeys(vms, time.Second)
 				time.Sleep(300 * time.Millisecond)
-				if successor := system.claim(t, "keyed"); successorLost && successor.Broker != former.name {
-					system.lose(named(vms, successor.Broker))
+				successor := system.claim(t, "keyed").Broker
+				var killed []*vm
+				for _, vm := range vms {
+					if vm != former && (fate == "all others restarted" || (fate == "lost" && vm.name == successor)) {
+						system.lose(vm)
+						killed = append(killed, vm)
+					}
 				}
 				restore()
+				if fate == "all others restarted" {
+					for _, old := range killed {
+						system.set(old, func(vm *vm) { vm.killed = true })
+						started := system.start(old.name)
+						defer started.stopAndWait()
+					}
+				}
 				system.mutex.Lock()
 				former.partitioned, former.storeDown = false, false
 				system.mutex.Unlock()
