--- a/internal/keeper/doc.go
+++ b/internal/keeper/doc.go
@@ -9,4 +9,7 @@
 // release, or after every grant that the previous owner may have received has
 // expired. Expiry is measured from the time at which the grant was sent, with an
 // allowance for slow clocks. A grant without an answer counts as received.
+//
+// If the store is restored from an old copy, grants under lost records may be in force.
+// Until these are excluded or have expired, the keeper only renews grants that it holds.
 package keeper
--- a/internal/keeper/era.go
+++ b/internal/keeper/era.go
@@ -93,9 +93,14 @@
 	return at, true
 }
 
-// checkEra settles the ledger if the store has reached a new era and that is possible.
-// The mutex is held.
+// checkEra settles the ledger if the store has reached a new era and that is possible. It
+// is called after each answer to a grant too, and looks once in a tickInterval. The mutex
+// is held.
 func (keeper *Keeper) checkEra(now time.Time) {
+	if now.Sub(keeper.eraCheckedAt) < tickInterval {
+		return
+	}
+	keeper.eraCheckedAt = now
 	status := keeper.Authority.Era()
 	keeper.observeEra(status.Era, now)
 	if !keeper.unsettled() {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -101,6 +101,7 @@
 	suspended          bool      // the authority does not allow grants to be sent
 	staleRenewalsUntil time.Time // until when earlier brokers may renew grants
 	era                uint64    // of the store, see checkEra
+	eraCheckedAt       time.Time // when checkEra last looked
 	restored           bool      // the ledger taken over was restored, and is not settled yet
 	takenOverAt        time.Time // when the ledger was taken over
 	storedFence        uint64    // the highest one of a stored ledger that could not be replaced for it
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -1,6 +1,7 @@
 // Package storer follows the objects of a kind in the platform's object store: it
 // lists them, watches for changes, and detects outages of the store. VMs can relay
-// changes to each other, so that few of them need to watch the store.
+// changes to each other, so that few of them need to watch the store. After a restore of
+// the store from an old copy, revisions of the earlier era are not compared with new ones.
 package storer
 
 import (
