Choose most VMs with slots of an upstream in its zone in local mode

Cause: in local mode 15 of 73 or 89 VMs have a slot of an upstream, spread over all zones. While a zone was partitioned, 5 of its VMs could serve the keys of an upstream there, and half of the VMs that these were asked by did not answer. Change: two thirds are chosen among the VMs of the upstream's zone. A VM without a slot asks those of its own zone first. Result: TestLocalModePrefersTheZoneOfAnUpstream; the sum at each upstream stays within its queue (TestLocalModeStaysWithinTheQueue, now with three zones).

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -33,6 +33,8 @@
 	VMs() []string
 	// CPUShare returns the CPU share of a VM, in cores.
 	CPUShare(vm string) float64
+	// Zone returns the availability zone of a VM; empty if it is not known.
+	Zone(vm string) string
 }
 
 // Allocator acquires slots for the requests of this VM, and assigns them for all VMs
--- a/internal/allocator/lead.go
+++ b/internal/allocator/lead.go
@@ -10,6 +10,7 @@
 
 	"github.com/cuminstream/cuminstream/internal/keeper"
 	"github.com/cuminstream/cuminstream/internal/storer"
+	"github.com/cuminstream/cuminstream/pkg/broker"
 	"github.com/cuminstream/cuminstream/pkg/budgeter"
 )
 
@@ -190,9 +191,13 @@
 	allocator.observeFollowers()
 	allocator.beginPolling()
 	names := allocator.Members.VMs()
+	members := make([]broker.Member, len(names))
+	for i, name := range names {
+		members[i] = broker.Member{Name: name, Zone: allocator.Members.Zone(name)}
+	}
 	for _, service := range allocator.allServices() {
 		if !service.isBroker() {
-			service.broker.SetLocalMode(allocator.VM, names)
+			service.broker.SetLocalMode(allocator.VM, members)
 		}
 		service.broker.SetWarmupVMs(names)
 		allocator.logWarmup(service)
--- a/internal/allocator/system_test.go
+++ b/internal/allocator/system_test.go
@@ -129,6 +129,9 @@
 // CPUShare implements allocator.Members.
 func (vm *vm) CPUShare(name string) float64 { return vm.system.cpuShares[name] }
 
+// Zone implements allocator.Members.
+func (vm *vm) Zone(string) string { return "" }
+
 // store is the object store as seen by one VM.
 type store struct {
 	storer.Store
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -283,6 +283,13 @@
 	return enroller.vms[vm].CPUShare
 }
 
+// Zone returns the availability zone of the VM; empty if it is not known.
+func (enroller *Enroller) Zone(vm string) string {
+	enroller.mutex.Lock()
+	defer enroller.mutex.Unlock()
+	return enroller.vms[vm].Zone
+}
+
 // LinkAddress implements linker.Directory.
 func (enroller *Enroller) LinkAddress(vm string) (address string, ok bool) {
 	enroller.mutex.Lock()
--- a/pkg/broker/local_mode.go
+++ b/pkg/broker/local_mode.go
@@ -14,7 +14,20 @@
 // for grants of keys.
 type localMode struct {
 	vm      string
-	members []string // VMs that assign slots locally; up to 1 when this broker serves all VMs
+	members []Member // VMs that assign slots locally; up to 1 when this broker serves all VMs
+}
+
+// Member is a VM that assigns slots locally.
+type Member struct{ Name, Zone string }
+
+// zone returns the availability zone of this VM.
+func (mode localMode) zone() string {
+	for _, member := range mode.members {
+		if member.Name == mode.vm {
+			return member.Zone
+		}
+	}
+	return ""
 }
 
 // assignsForAll reports whether the broker assigns slots for all VMs.
@@ -44,7 +57,7 @@
 		return upstream.Slots
 	case vms <= total:
 		return min(max(localShareFactor*upstream.Slots/vms, 1), total/vms, upstream.Slots)
-	case mode.rank(upstream.ID) < total:
+	case mode.holds(upstream):
 		return 1
 	default:
 		return 0
@@ -57,35 +70,80 @@
 	upstream.local = len(mode.members) > 1
 }
 
-// rank returns the number of other members that come before this VM in the order of the
-// members for the upstream (rendezvous hashing). All VMs with the same list of members
-// have different ranks, and a change of one member changes the limit of one other at most.
-func (mode localMode) rank(upstream string) int {
-	own, rank := memberHash(mode.vm, upstream), 0
+// zoneShare is the share of the requests in local mode at an upstream that is given to VMs
+// of its zone. While a zone is partitioned, these serve the keys of its upstreams, and no
+// other VM reaches them. The rest is for VMs of all zones.
+const zoneShare = 2.0 / 3
+
+// zoneQuota returns how many of the VMs with a slot of the upstream are chosen in its zone.
+func zoneQuota(upstream Upstream) int { return int(zoneShare * float64(localTotal(upstream))) }
+
+// holds reports whether this VM is one of the localTotal members with a slot of the
+// upstream. These are chosen by rendezvous hashing: a change of one member changes the
+// choice of one other at most in each part.
+func (mode localMode) holds(upstream Upstream) bool {
+	own := Member{mode.vm, mode.zone()}
+	zoneBefore, zoneCount, othersBefore := 0, 0, 0
 	for _, member := range mode.members {
-		if hash := memberHash(member, upstream); hash > own || (hash == own && member < mode.vm) {
-			rank++
+		before := compareMembers(member, own, upstream) < 0
+		switch {
+		case member.Zone != upstream.Zone && before:
+			othersBefore++
+		case member.Zone == upstream.Zone:
+			zoneCount++
+			if before {
+				zoneBefore++
+			}
 		}
 	}
-	return rank
+	quota := zoneQuota(upstream)
+	if own.Zone == upstream.Zone && zoneBefore < quota {
+		return true
+	}
+	return max(zoneBefore-quota, 0)+othersBefore < localTotal(upstream)-min(quota, zoneCount)
 }
 
-// holders returns the VMs that may assign slots of the upstream if this one may not, from a
-// position on that differs between VMs.
+// compareMembers orders members for the upstream by rendezvous hashing.
+func compareMembers(a, b Member, upstream Upstream) int {
+	return cmp.Or(cmp.Compare(memberHash(b.Name, upstream.ID), memberHash(a.Name, upstream.ID)), cmp.Compare(a.Name, b.Name))
+}
+
+// holders returns the VMs that may assign slots of the upstream if this one may not: those of
+// this VM's zone first, from a position on that differs between VMs.
 func (mode localMode) holders(upstream *upstreamState) []string {
 	if len(mode.members) <= 1 || upstream.slotLimit > 0 {
 		return nil
 	}
 	sorted := slices.Clone(mode.members)
-	slices.SortFunc(sorted, func(a, b string) int {
-		return cmp.Or(cmp.Compare(memberHash(b, upstream.ID), memberHash(a, upstream.ID)), cmp.Compare(a, b))
-	})
-	sorted = sorted[:min(localTotal(upstream.Upstream), len(sorted))]
-	if len(sorted) == 0 {
+	slices.SortFunc(sorted, func(a, b Member) int { return compareMembers(a, b, upstream.Upstream) })
+	zone, total, quota := mode.zone(), localTotal(upstream.Upstream), zoneQuota(upstream.Upstream)
+	var inZone, others []Member
+	for _, member := range sorted {
+		if member.Zone == upstream.Zone && len(inZone) < quota {
+			inZone = append(inZone, member)
+		} else {
+			others = append(others, member)
+		}
+	}
+	var near, far []string
+	for _, member := range slices.Concat(inZone, others[:min(max(total-len(inZone), 0), len(others))]) {
+		if member.Zone == zone {
+			near = append(near, member.Name)
+		} else {
+			far = append(far, member.Name)
+		}
+	}
+	start := int(memberHash(mode.vm, upstream.ID) >> 1)
+	return slices.Concat(rotated(near, start), rotated(far, start))
+}
+
+// rotated returns the names from the start-th on, followed by those before it.
+func rotated(names []string, start int) []string {
+	if len(names) == 0 {
 		return nil
 	}
-	start := int(memberHash(mode.vm, upstream.ID) % uint64(len(sorted)))
-	return slices.Concat(sorted[start:], sorted[:start])
+	start %= len(names)
+	return slices.Concat(names[start:], names[:start])
 }
 
 // LocalHolders returns the VMs that may assign a slot for the request's key in local mode, in
@@ -119,10 +177,10 @@
 	return 1 + (localCostSpread-1)*float64(memberHash(mode.vm, upstream)>>11)/(1<<53)
 }
 
-// SetLocalMode sets the names of the VMs that assign slots locally, including the given
+// SetLocalMode sets the VMs that assign slots locally, including the given
 // one. With more than one, this broker assigns slots for the given VM only; otherwise it
 // assigns them for all VMs.
-func (broker *Broker) SetLocalMode(vm string, members []string) {
+func (broker *Broker) SetLocalMode(vm string, members []Member) {
 	broker.mutex.Lock()
 	defer broker.mutex.Unlock()
 	if broker.localMode.vm == vm && slices.Equal(broker.localMode.members, members) {
--- a/pkg/broker/local_mode_test.go
+++ b/pkg/broker/local_mode_test.go
@@ -23,6 +23,15 @@
 	return names
 }
 
+// members returns VMs in the given number of zones, "a" and on.
+func members(count, zones int) []broker.Member {
+	list := make([]broker.Member, count)
+	for i, name := range vmNames(count) {
+		list[i] = broker.Member{Name: name, Zone: string(rune('a' + i%zones))}
+	}
+	return list
+}
+
 // Guards against VMs in local mode that together send an upstream more than its queue holds
 // beside the requests of a former broker (89 VMs with one slot each for an upstream that
 // holds 20), and against keys of an upstream that no VM serves.
@@ -37,7 +46,7 @@
 			for _, name := range vmNames(vms) {
 				vmBroker := &broker.Broker{Service: "s", Clock: newFakeClock(), Owners: owners}
 				vmBroker.SetUpstreams(upstreams(len(owners), slots))
-				vmBroker.SetLocalMode(name, vmNames(vms))
+				vmBroker.SetLocalMode(name, members(vms, 3))
 				vmBroker.SetUpstreams(upstreams(len(owners), slots))
 				for key := range sums {
 					for range slots + 2 {
@@ -72,7 +81,7 @@
 		for vm := range vms {
 			name := fmt.Sprint("vm", vm)
 			vmBroker := newBroker(clocker.System{}, upstreams(count, slots))
-			vmBroker.SetLocalMode(name, vmNames(vms))
+			vmBroker.SetLocalMode(name, members(vms, 3))
 			random := rand.New(rand.NewPCG(uint64(vm), 1))
 			requests.Go(func() {
 				for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
@@ -105,7 +114,7 @@
 // A broker that leaves local mode assigns all slots again.
 func TestLeavingLocalModeFreesAllSlots(t *testing.T) {
 	testBroker := newBroker(newFakeClock(), upstreams(1, 3))
-	testBroker.SetLocalMode("vm0", vmNames(8))
+	testBroker.SetLocalMode("vm0", members(8, 3))
 	assigned := func() (count int) {
 		for range 4 {
 			if decision, ok := pollDecision(testBroker.Submit(newRequest(0))); ok && decision.Ticket > 0 {
@@ -118,3 +127,39 @@
 	testBroker.SetLocalMode("vm0", nil)
 	assert.Equal(t, testBroker.SlotsInUse()["u0"], 3)
 }
+
+// Guards against keys that nobody serves while a zone is partitioned: of 24 VMs of an
+// upstream's zone, too few had a slot of it, and the others asked VMs of other zones.
+func TestLocalModePrefersTheZoneOfAnUpstream(t *testing.T) {
+	owners := fixedOwners{}
+	for key := range 20 {
+		owners[key] = broker.Ownership{Upstream: fmt.Sprint("u", key), Held: true}
+	}
+	list := upstreams(len(owners), 4)
+	for i := range list {
+		list[i].Zone = "a"
+	}
+	inZone := map[string]bool{}
+	for _, member := range members(73, 3) {
+		inZone[member.Name] = member.Zone == "a"
+	}
+	holders := make([]int, len(list))
+	for _, member := range members(73, 3) {
+		vmBroker := &broker.Broker{Service: "s", Clock: newFakeClock(), Owners: owners}
+		vmBroker.SetUpstreams(list)
+		vmBroker.SetLocalMode(member.Name, members(73, 3))
+		for key := range holders {
+			asked := vmBroker.LocalHolders(broker.Request{Key: key})
+			switch {
+			case len(asked) == 0 && inZone[member.Name]:
+				holders[key]++
+			case len(asked) > 0:
+				assert.Equal(t, len(asked), 15)
+				assert.Assert(t, !inZone[member.Name] || (inZone[asked[0]] && inZone[asked[1]]))
+			}
+		}
+	}
+	for key, count := range holders {
+		assert.Assert(t, count >= 10, "%d VMs of the zone have a slot of upstream %d", count, key)
+	}
+}
--- a/pkg/broker/warmup_test.go
+++ b/pkg/broker/warmup_test.go
@@ -96,7 +96,7 @@
 	for _, vm := range vms {
 		local := newBoundedBroker(clock, nil, nil)
 		local.SetUpstreams(list)
-		local.SetLocalMode(vm, vms)
+		local.SetLocalMode(vm, members(len(vms), 1))
 		local.SetWarmupVMs(vms)
 		brokers = append(brokers, local)
 	}
@@ -131,8 +131,8 @@
 	list := upstreams(1, 100)
 	former, next := newBoundedBroker(clock, list, nil), newBoundedBroker(clock, list, nil)
 	alone := newBoundedBroker(clock, list, nil)
-	next.SetLocalMode("vm1", vms)
-	alone.SetLocalMode("vm2", vms)
+	next.SetLocalMode("vm1", members(3, 1))
+	alone.SetLocalMode("vm2", members(3, 1))
 	list[0].Warmup, list[0].CheckIn = 3*time.Second, 7
 	received := arrivals{}
 	sendAll := func(from *broker.Broker) {
