Reuse the buffers of request bodies

Cause: a body that grows to 1 MiB left as much garbage, and an upload that was refused or evicted all of it; beside other load the resident memory exceeded the runtime's limit of 86 MB by 21 MB.

Tests of internal/courier pass with -race.

--- a/internal/courier/body.go
+++ b/internal/courier/body.go
@@ -17,9 +17,6 @@
 	// again. Uploads of usual size fit, so a slow caller holds no slot while it sends
 	// its body.
 	maxBufferedBody = 1 << 20
-	// firstBuffer is the size of the first buffer of a body. It is doubled when it is full,
-	// so that a caller holds at most twice what it has sent.
-	firstBuffer = 4 << 10
 	// shortRetryAfter is the Retry-After time while the account of bytes is short. Stalled
 	// uploads are evicted after a second.
 	shortRetryAfter = 500 * time.Millisecond
@@ -43,29 +40,27 @@
 		return exchange.answerWith(http.StatusRequestEntityTooLarge, "the body exceeds the limit")
 	}
 	request.SetBodyDeadline(exchange.deadline)
-	limit := int64(maxBufferedBody)
-	if request.ContentLength >= 0 {
-		limit = min(limit, request.ContentLength)
+	body, reason, err := readReserved(request, maxBufferedBody)
+	if reason == "" && (err == nil || err == io.EOF) {
+		exchange.bufferedBody = body
+		if err == nil {
+			exchange.bodyRest = &streamedUpload{exchange: exchange}
+		}
+		return nil
 	}
-	body, reason, err := readReserved(request, limit)
-	exchange.bufferedBody = body
+	giveBodyBuffer(body)
 	switch {
 	case reason != "":
-		exchange.bufferedBody = nil // the rest has not been read: the connection is closed
 		return exchange.answerNotRun(http.StatusServiceUnavailable, "the account of bytes has no room for the body: "+string(reason), shortRetryAfter)
 	case errors.Is(err, fronter.ErrBodyEvicted):
 		return exchange.answerNotRun(http.StatusServiceUnavailable, err.Error(), shortRetryAfter)
 	case errors.Is(err, fronter.ErrBodyTooLarge):
 		return exchange.answerWith(http.StatusRequestEntityTooLarge, "the body exceeds the limit")
-	case err == io.EOF:
-		return nil
 	case isTimeout(err):
 		return exchange.answerNotRun(http.StatusRequestTimeout, "the body did not arrive in time", 0)
-	case err != nil:
+	default:
 		return exchange.answerWith(http.StatusBadRequest, "the body could not be read: "+err.Error())
 	}
-	exchange.bodyRest = &streamedUpload{exchange: exchange}
-	return nil
 }
 
 // isTimeout reports whether the error is that of a deadline of a connection.
@@ -74,21 +69,21 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// readReserved reads up to limit bytes of the body. The error is io.EOF at the end of the
-// body, and nil if the limit was reached before it.
-func readReserved(request *fronter.Request, limit int64) (body []byte, reason accountant.Reason, err error) {
-	for {
+// readReserved reads up to limit bytes of the body, and a few more if there are any. The
+// error is io.EOF at the end of the body, and nil if the body goes on after the limit.
+func readReserved(request *fronter.Request, limit int) (body []byte, reason accountant.Reason, err error) {
+	for index := 0; ; {
+		if len(body) > limit {
+			return body, "", nil
+		}
 		if len(body) == cap(body) {
-			// One byte more than a stated length finds the end of the body.
-			size := min(max(2*int64(cap(body)), firstBuffer), limit+1)
-			if int64(len(body)) > limit {
-				return body, "", nil
-			}
-			if reason := request.Holder.Reserve(accountant.Requests, size); reason != "" {
+			if reason := request.Holder.Reserve(accountant.Requests, int64(bodyBufferSize(index))); reason != "" {
 				return body, reason, nil
 			}
-			grown := append(make([]byte, 0, size), body...)
+			grown := append(takeBodyBuffer(index), body...)
+			index++
 			request.Holder.Release(accountant.Requests, int64(cap(body)))
+			giveBodyBuffer(body)
 			body = grown
 		}
 		n, err := request.Body.Read(body[len(body):cap(body)])
--- a/internal/courier/body_test.go
+++ b/internal/courier/body_test.go
@@ -137,3 +137,34 @@
 type evictedReader struct{}
 
 func (evictedReader) Read([]byte) (int, error) { return 0, fronter.ErrBodyEvicted }
+
+// Guards against a body that changes or is cut when its buffer grows or is reused by a later
+// request, among others by one whose body did not arrive.
+func TestBodiesKeepTheirBytes(t *testing.T) {
+	var sent []*sender.Request
+	backend := &fakeBackend{responses: []sendFunc{func(ctx context.Context, request *sender.Request) (*sender.Response, error) {
+		sent = append(sent, request)
+		return served(ctx, request)
+	}}}
+	forwarder := newForwarder(backend)
+	sizes := []int{1, 4 << 10, 4<<10 + 1, 60_000, 512 << 10, 1 << 20, 1<<20 + 1, 1<<20 + 4<<10, 1<<20 + 4<<10 + 1}
+	for i, size := range sizes {
+		upload := request("/book/1", "Left", "60s")
+		upload.ContentLength, upload.Body = -1, strings.NewReader(strings.Repeat(string(rune('a'+i)), size))
+		assert.Equal(t, forwarder.Serve(t.Context(), upload).Status, 200)
+		cut := request("/book/1")
+		cut.Body = io.MultiReader(strings.NewReader(strings.Repeat("!", size)), errorReader{})
+		if size <= 1<<20 { // a larger one is streamed
+			assert.Equal(t, forwarder.Serve(t.Context(), cut).Status, http.StatusRequestTimeout, "%d", size)
+		}
+	}
+	for i, size := range sizes {
+		body := string(sent[i].Body)
+		if sent[i].Stream != nil {
+			streamed, err := io.ReadAll(sent[i].Stream)
+			assert.NilError(t, err)
+			body = string(streamed)
+		}
+		assert.Assert(t, body == strings.Repeat(string(rune('a'+i)), size), "%d bytes", size)
+	}
+}
