Refuse later at owners of few slots, and judge urgent classes by their own load

A class that is not overloaded was judged by the load of less urgent ones (rule missesDeadline). Change: at the owner of a key the threshold is 0.9 + 0.4 / sqrt(slots), the margin at most 0.2 standard deviations. Under overload by others a late request waits for its own class and more urgent ones only.

--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -10,6 +10,10 @@
 	// overloadThreshold is the utilization above which requests that would miss their
 	// target are refused, so that their slots serve others in time.
 	overloadThreshold = 0.9
+	// loadNoise, divided by the square root of the number of slots, is added to
+	// overloadThreshold at the owner of a key. The load of few slots, measured over 2 s,
+	// varies by chance: with 4 slots, a load of 0.8 exceeds 0.9 in one of four measurements.
+	loadNoise = 0.4
 	// lateTimeoutShare is the share of the time to its deadline within which a request
 	// that will miss its target must be expected to end, or it is refused.
 	lateTimeoutShare = 0.8
@@ -38,22 +42,27 @@
 	if request.Retry && broker.RetryBudget != nil && broker.RetryBudget.UsedUp(broker.retryShare(request, now)) {
 		return Decision{Refusal: RetryBudgetExhausted, RetryAfter: RefusedRetryAfter(request.Target, broker.Random()), QueueLength: waiter.queueLength}, true
 	}
-	utilization := broker.utilization(request, waiter.owner, now)
-	waiter.overloaded = utilization > overloadThreshold
+	utilization, threshold := broker.utilization(request, waiter.owner, now), broker.overloadThreshold(waiter)
+	waiter.overloaded = utilization > threshold
 	forecast, ok := broker.estimate(waiter, now)
 	if !ok {
 		return refuse(Unavailable, min(time.Second, request.Timeout/4)) // callers wait for up to a third
 	}
-	if waiter.overloaded && forecast.neededShare > overloadThreshold {
+	if waiter.overloaded && forecast.neededShare > threshold {
 		return broker.admitOverloaded(waiter, forecast, now)
 	}
 	wait := forecast.wait()
 	if wait == 0 || wait+forecast.serviceTime <= request.Target.Seconds() {
 		return Decision{}, false
 	}
-	// Requests that can meet their target go first, so that a late one also waits
-	// for those that arrive meanwhile.
-	if wait/max(1-utilization, 0.01)+forecast.serviceTime > lateTimeoutShare*request.Timeout.Seconds() {
+	// Requests that can meet their target go first, so that a late one also waits for those
+	// that arrive meanwhile: under overload by less urgent classes, for those of its own
+	// class and of more urgent ones.
+	before := utilization
+	if waiter.overloaded {
+		before = forecast.neededShare
+	}
+	if wait/max(1-before, 0.01)+forecast.serviceTime > lateTimeoutShare*request.Timeout.Seconds() {
 		return broker.refuseByRule(waiter, RuleMissesDeadline, forecast, now), true
 	}
 	return Decision{}, false
@@ -135,9 +144,10 @@
 	}
 	queue.lateChecked = now
 	first := queue.waiting[0]
-	overloaded := broker.utilization(first.request, first.owner, now) > overloadThreshold
+	threshold := broker.overloadThreshold(first)
+	overloaded := broker.utilization(first.request, first.owner, now) > threshold
 	serviceTime := broker.expectedServiceTime(queue, now).Seconds()
-	expected := forecast{serviceTime: serviceTime, interval: serviceTime / max(broker.slotsOf(first, now), 1), free: 1, spread: broker.spread}
+	expected := forecast{serviceTime: serviceTime, interval: serviceTime / max(broker.slotsOf(first, now), 1), free: 1, spread: broker.spread, threshold: threshold}
 	var late []*Waiter
 	for index, waiter := range queue.waiting {
 		if index == 0 || waiter.urgency != queue.waiting[index-1].urgency {
@@ -155,7 +165,7 @@
 	}
 	for _, waiter := range late {
 		broker.dequeue(waiter)
-		if overloaded && broker.neededShare(waiter, now) > overloadThreshold && !broker.fillsGaps(waiter) {
+		if overloaded && broker.neededShare(waiter, now) > threshold && !broker.fillsGaps(waiter) {
 			waiter.Decision <- broker.refuseByRule(waiter, RuleLate, expected, now)
 			continue
 		}
@@ -164,6 +174,15 @@
 	}
 }
 
+// overloadThreshold returns the utilization of the slots that the request competes for above
+// which they count as overloaded.
+func (broker *Broker) overloadThreshold(waiter *Waiter) float64 {
+	if owner := broker.upstreams[waiter.owner.Upstream]; owner != nil {
+		return overloadThreshold + loadNoise/math.Sqrt(float64(max(owner.slotLimit, 1)))
+	}
+	return overloadThreshold
+}
+
 // owner looks up the owner of the request's key.
 func (broker *Broker) owner(request Request) Ownership {
 	if !broker.keyed(request) {
@@ -234,6 +253,7 @@
 // completeForecast sets what depends on the waiting requests and on other classes.
 func (broker *Broker) completeForecast(waiter *Waiter, expected *forecast, slots float64, now time.Time) {
 	expected.serviceTime *= broker.ratio(waiter.urgency)
+	expected.threshold = broker.overloadThreshold(waiter)
 	waiter.overdue = now.Add(durationOfSeconds(expected.serviceTime)).After(waiter.due())
 	waiter.late = waiter.overdue && !waiter.overloaded
 	waiter.round = broker.nextRound(waiter)
--- a/pkg/broker/classes.go
+++ b/pkg/broker/classes.go
@@ -12,15 +12,17 @@
 	// Each class thus keeps a minimum share of one twentieth.
 	reservedInterval = 20
 	// inTimeQuantile is the number of standard deviations by which the expected end of a
-	// request must come before its target when at least fullOverload times the slots
-	// are needed. Four of five such requests are in time, while the queue keeps enough
-	// of them to fill the slots.
-	inTimeQuantile = 0.84
+	// request must come before its target under full overload. It is small for the few
+	// slots of the owner of a key: a late answer is worth more to a caller than a refusal,
+	// and the queue there is often too short to replace a refused request.
+	inTimeQuantile = 0.2
 	// manySlotsQuantile is the same for the slots of a whole service, from manySlots on,
-	// whose queue is long enough for nine of ten.
+	// whose queue is long enough for nine of ten to be in time.
 	manySlotsQuantile = 1.28
 	manySlots         = 16
-	fullOverload      = 1.2
+	// fullOverload is the share of the slots above the threshold of overload that must be
+	// needed for the whole margin.
+	fullOverload = 0.3
 	// starvedShare is the share of the slots that more urgent classes need from which on
 	// a class gets its minimum share.
 	starvedShare = 1 - 1.0/reservedInterval
@@ -157,7 +159,8 @@
 	// class that go before, and all of the class and of more urgent ones.
 	urgentShare, returnedShare, neededShare float64
 
-	spread float64 // square of the coefficient of variation of service times
+	spread    float64 // square of the coefficient of variation of service times
+	threshold float64 // utilization above which the slots count as overloaded
 }
 
 // steps returns the number of requests that must end before the request gets a slot.
@@ -170,20 +173,21 @@
 // and, under overload, a margin for the spread of service times. Requests that arrive
 // during the wait and go before are taken into account.
 func (forecast forecast) latency() float64 {
-	limit := maxAheadShare + (maxOverloadedAheadShare-maxAheadShare)*overloadDegree(forecast.urgentShare)
+	limit := maxAheadShare + (maxOverloadedAheadShare-maxAheadShare)*forecast.overloadDegree(forecast.urgentShare)
 	wait := forecast.wait() / (1 - min(forecast.urgentShare+forecast.returnedShare, limit))
 	variance := forecast.spread * (forecast.steps()*forecast.interval*forecast.interval + forecast.serviceTime*forecast.serviceTime)
 	quantile := inTimeQuantile
 	if manySlots*forecast.interval <= forecast.serviceTime {
 		quantile = manySlotsQuantile
 	}
-	return wait + forecast.serviceTime + quantile*overloadDegree(forecast.neededShare)*math.Sqrt(variance)
+	return wait + forecast.serviceTime + quantile*forecast.overloadDegree(forecast.neededShare)*math.Sqrt(variance)
 }
 
-// overloadDegree is 0 without overload and 1 from fullOverload on. With it grows the margin
-// of requests to their targets: at first, a few late answers cost less than refusals.
-func overloadDegree(neededShare float64) float64 {
-	return min(max((neededShare-overloadThreshold)/(fullOverload-overloadThreshold), 0), 1)
+// overloadDegree is 0 without overload and 1 from fullOverload above the threshold on. With it
+// grows the margin of requests to their targets: at first, a few late answers cost less than
+// refusals.
+func (forecast forecast) overloadDegree(neededShare float64) float64 {
+	return min(max((neededShare-forecast.threshold)/fullOverload, 0), 1)
 }
 
 // neededShare returns the share of the slots that requests of the request's class and of
