Fix a race in the test of random restores

It is in the test; the product is not involved. Change: the cut ends at the VM at which it began. Result: TestRandomRestores passes with -race.

--- a/internal/allocator/era_random_test.go
+++ b/internal/allocator/era_random_test.go
@@ -31,11 +31,13 @@
 				restores[len(restores)-1-random.IntN(min(len(restores), 40))]()
 			}
 		case 1:
-			system.set(vms[i], func(vm *vm) { vm.side = 1 + random.IntN(2) })
-			time.AfterFunc(length, func() { system.set(vms[i], func(vm *vm) { vm.side = 0 }) })
+			cut := vms[i] // it may be replaced before the cut ends
+			system.set(cut, func(vm *vm) { vm.side = 1 + random.IntN(2) })
+			time.AfterFunc(length, func() { system.set(cut, func(vm *vm) { vm.side = 0 }) })
 		case 2:
-			system.set(vms[i], func(vm *vm) { vm.storeDown = true })
-			time.AfterFunc(length, func() { system.set(vms[i], func(vm *vm) { vm.storeDown = false }) })
+			cut := vms[i]
+			system.set(cut, func(vm *vm) { vm.storeDown = true })
+			time.AfterFunc(length, func() { system.set(cut, func(vm *vm) { vm.storeDown = false }) })
 		case 3:
 			system.set(vms[i], func(vm *vm) { vm.partitioned, vm.storeDown, vm.killed = true, true, true })
 			killed := vms[i]
