Refuse uploads under overload only if they would end late on average

Uploads were refused with the margin of small requests after their bodies had arrived, and their callers sent these again over links of 10 Mbit/s. Change: a request with a large body is admitted if it ends in time on average, and is neither displaced nor refused as late while it waits. TestUploadsAreRefusedLess fails before (both answered alike).

--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -75,6 +75,9 @@
 		broker.trim(waiter, forecast, now)
 		return Decision{}, false
 	}
+	if waiter.request.isLarge() && forecast.wait()+forecast.serviceTime <= target {
+		return Decision{}, false
+	}
 	if forecast.urgentShare > starvedShare && waiter.class.takeReserved() {
 		waiter.urgency, forecast.urgentShare, forecast.returnedShare = reservedUrgency, 0, 0
 		forecast.ahead = broker.position(waiter)
@@ -103,7 +106,7 @@
 		inTime--
 		last := queue.waiting[inTime]
 		forecast.ahead = inTime + 1
-		if compareWaiters(last, newest) < 0 || !now.Add(durationOfSeconds(forecast.latency())).After(last.due()) {
+		if last.request.isLarge() || compareWaiters(last, newest) < 0 || !now.Add(durationOfSeconds(forecast.latency())).After(last.due()) {
 			return
 		}
 		broker.dequeue(last)
@@ -165,11 +168,11 @@
 	}
 	for _, waiter := range late {
 		broker.dequeue(waiter)
-		if overloaded && broker.neededShare(waiter, now) > threshold && !broker.fillsGaps(waiter) {
+		if overloaded && broker.neededShare(waiter, now) > threshold && !broker.fillsGaps(waiter) && !waiter.request.isLarge() {
 			waiter.Decision <- broker.refuseByRule(waiter, RuleLate, expected, now)
 			continue
 		}
-		waiter.late, waiter.overdue, waiter.overloaded = !overloaded || broker.fillsGaps(waiter), true, overloaded
+		waiter.late, waiter.overdue, waiter.overloaded = !overloaded || waiter.request.isLarge() || broker.fillsGaps(waiter), true, overloaded
 		broker.enqueue(waiter)
 	}
 }
--- a/pkg/broker/classes.go
+++ b/pkg/broker/classes.go
@@ -48,6 +48,10 @@
 	minRatio = 0.1
 )
 
+// isLarge reports whether the request has a large body, which its VM has received. A refusal
+// wastes that, and the repeat takes the VM's link again.
+func (request Request) isLarge() bool { return request.BodyBytes > smallBodyBytes }
+
 // urgency orders the classes of a service; 0 is the most urgent. Requests that reach the
 // service as overflow of other services come after its own of the same rank.
 func (request Request) urgency() int {
--- a/pkg/broker/classes_test.go
+++ b/pkg/broker/classes_test.go
@@ -105,3 +105,20 @@
 		assert.Assert(t, ok && running.Ticket > 0, "%s was not next", next)
 	}
 }
+
+// Guards against refusing uploads whose body has arrived as early as small requests. On
+// lochside-gw-grown, callers sent refused bodies again and filled the links of VMs, so that
+// all classes were late.
+func TestUploadsAreRefusedLess(t *testing.T) {
+	answered := func(bodyBytes int64) float64 {
+		classes := competingClasses(1.2)
+		for i := range classes {
+			classes[i].key = func(*rand.Rand) int { return broker.NoKey }
+		}
+		classes[3].request.BodyBytes = bodyBytes
+		uploads := playUniform(t, 12, 20*time.Second, nil, classes...)[3]
+		return uploads.share(uploads.inTime + uploads.late)
+	}
+	small, large := answered(0), answered(60<<10)
+	assert.Assert(t, large >= 1.25*small, "answered: %.3f of small requests, %.3f of uploads", small, large)
+}
