--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -12,7 +12,7 @@
 	overloadThreshold = 0.9
 	// loadNoise, divided by the square root of the number of slots, is added to
 	// overloadThreshold at the owner of a key. The load of few slots, measured over 2 s,
-	// varies by chance: with 4 slots, a load of 0.8 exceeds 0.9 in one of four measurements.
+	// varies by chance.
 	loadNoise = 0.4
 	// lateTimeoutShare is the share of the time to its deadline within which a request
 	// that will miss its target must be expected to end, or it is refused.
