--- a/review/kit2/cases.go
+++ b/review/kit2/cases.go
@@ -12,6 +12,7 @@
 	"field":   field,
 	"version": version,
 	"stop":    stop,
+	"restart": restart,
 }
 
 // route is a row of the configuration.
@@ -43,7 +44,7 @@
 func small(repository, temporary string, store *store, terms terms) []*vm {
 	var vms []*vm
 	for _, zone := range []string{"zone-a", "zone-b", "zone-c"} {
-		vms = append(vms, startVM(repository, temporary, store, "edge-"+zone+"-1", zone, terms, true))
+		vms = append(vms, startVM(repository, temporary, store.Address, "edge-"+zone+"-1", zone, terms, true))
 	}
 	return vms
 }
--- a/review/kit2/fleet.go
+++ b/review/kit2/fleet.go
@@ -52,7 +52,7 @@
 	GraceS, DrainS, ConfigS float64
 }
 
-func startVM(repository, folder string, store *store, name, zone string, terms terms, first bool) *vm {
+func startVM(repository, folder, storeAddress, name, zone string, terms terms, first bool) *vm {
 	port := freePorts(8)
 	created := &vm{Name: name, Zone: zone, Front: fmt.Sprintf("127.0.0.1:%d", port), Ready: fmt.Sprintf("127.0.0.1:%d", port+1), folder: folder, done: make(chan struct{})}
 	text := fmt.Sprintf(`grants = "invocation"
@@ -119,7 +119,7 @@
 recovery-s = 15
 hold-max-s = 10
 thaw-s = 0.3
-`, name, zone, first, port+2, port+6, created.Front, created.Ready, store.Address, terms.DrainS, terms.GraceS, terms.ConfigS)
+`, name, zone, first, port+2, port+6, created.Front, created.Ready, storeAddress, terms.DrainS, terms.GraceS, terms.ConfigS)
 	created.settings = filepath.Join(folder, name+".toml")
 	if err := os.WriteFile(created.settings, []byte(text), 0o600); err != nil {
 		fail("write settings: %v", err)
--- a/review/kit2/server.go
+++ b/review/kit2/server.go
@@ -34,6 +34,8 @@
 	ExtraHead func(request *http.Request) string
 	// Chunked makes it send the bodies of these answers in chunks.
 	Chunked bool
+	// Judge, if set, sees what the server holds and begins.
+	Judge *judge
 	// Spoil, if set, changes the bytes of such an answer.
 	Spoil func(answer string) string
 
@@ -44,8 +46,10 @@
 	waiting  int
 	runs     []run
 	holds    []hold
-	fences   map[int]uint64 // highest fencing token seen by key, kept sparse by range start
 	sequence int
+	state    string
+	listener net.Listener
+	conns    map[net.Conn]bool
 	gone     chan struct{}
 }
 
@@ -60,38 +64,95 @@
 func startServer(store *store, id, service, zone string, slots int, sharded bool) *server {
 	listener := listen()
 	created := &server{
-		ID: id, Service: service, Zone: zone, Address: listener.Addr().String(), Slots: slots, Sharded: sharded, Born: time.Now().UnixMilli(), store: store, gone: make(chan struct{}),
+		ID: id, Service: service, Zone: zone, Address: listener.Addr().String(), Slots: slots, Sharded: sharded, store: store,
 	}
 	created.cond = sync.NewCond(&created.mutex)
+	created.begin(listener)
+	return created
+}
+
+// begin begins a life of the server, which holds and knows nothing of before.
+func (server *server) begin(listener net.Listener) {
+	server.mutex.Lock()
+	server.Born, server.sequence, server.holds, server.state = time.Now().UnixMilli(), 0, nil, "ready"
+	server.listener, server.conns, server.gone = listener, map[net.Conn]bool{}, make(chan struct{})
+	gone := server.gone
+	server.mutex.Unlock()
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go created.serve(conn)
+			server.mutex.Lock()
+			server.conns[conn] = true
+			server.mutex.Unlock()
+			go server.serve(conn)
+		}
+	}()
+	server.checkIn()
+	go func() {
+		for {
+			select {
+			case <-gone:
+				return
+			case <-time.After(checkInInterval):
+				server.checkIn()
+			}
 		}
 	}()
-	go created.checkIn()
-	return created
 }
 
+// checkInInterval is heartbeat-s.
+const checkInInterval = 1500 * time.Millisecond
+
+// checkIn writes the server's entry.
 func (server *server) checkIn() {
-	for {
-		server.mutex.Lock()
-		server.sequence++
-		entry := map[string]any{
-			"addr": server.Address, "born": server.Born, "info": map[string]any{"service": server.Service, "version": "v1", "zone": server.Zone, "max-concurrency": server.Slots},
-			"status": map[string]any{"state": "ready", "sequence": server.sequence, "warmup-left-s": 0},
-		}
-		server.mutex.Unlock()
-		server.store.put("servers", server.ID, entry)
-		select {
-		case <-server.gone:
-			return
-		case <-time.After(1500 * time.Millisecond):
-		}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	select {
+	case <-server.gone:
+		return
+	default:
 	}
+	server.sequence++
+	server.store.put("servers", server.ID, map[string]any{
+		"addr": server.Address, "born": server.Born, "info": map[string]any{"service": server.Service, "version": "v1", "zone": server.Zone, "max-concurrency": server.Slots},
+		"status": map[string]any{"state": server.state, "sequence": server.sequence, "warmup-left-s": 0},
+	})
+}
+
+// drain reports that the server is about to leave.
+func (server *server) drain() {
+	server.mutex.Lock()
+	server.state = "draining"
+	server.mutex.Unlock()
+	server.checkIn()
+}
+
+// end ends the life of the server, and removes its entry, as after a planned shutdown.
+func (server *server) end() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	close(server.gone)
+	_ = server.listener.Close()
+	for conn := range server.conns {
+		_ = conn.Close()
+	}
+	server.holds = nil
+	if server.Judge != nil {
+		server.Judge.ended(server.ID)
+	}
+	server.store.remove("servers", server.ID)
+}
+
+// startAgain starts the server again under the id and at the address that it had.
+func (server *server) startAgain() {
+	listener, err := net.Listen("tcp", server.Address)
+	if err != nil {
+		fail("start %s again: %v", server.ID, err)
+	}
+	server.begin(listener)
 }
 
 func (server *server) serve(conn net.Conn) {
@@ -169,23 +230,32 @@
 		until = time.Now().Add(time.Duration(order.Hold * float64(time.Second)))
 	}
 	server.holds = append(kept, hold{order.From, order.To, order.Fence, until})
+	if server.Judge != nil {
+		server.Judge.held(server.ID, server.holds, order.From, order.To, order.Fence, !until.IsZero())
+	}
 	return server.answer(request, 200, "", nil)
 }
 
+// fenceOf returns the fencing token with which the server holds the key. The mutex is held.
+func (server *server) fenceOf(key int) (fence uint64, holds bool) {
+	for _, held := range server.holds {
+		if held.from <= key && key <= held.to && time.Now().Before(held.until) {
+			return held.fence, true
+		}
+	}
+	return 0, false
+}
+
 // work runs the request, or refuses it.
 func (server *server) work(request *http.Request) []byte {
 	id := request.Header.Get("Cuminstream-Request-Id")
 	if id == "" {
 		return server.answer(request, 400, "Cuminstream-Not-Executed: 1\r\n", nil)
 	}
+	key, _ := strconv.Atoi(request.Header.Get("Cuminstream-Shard-Key"))
 	server.mutex.Lock()
 	if server.Sharded {
-		key, _ := strconv.Atoi(request.Header.Get("Cuminstream-Shard-Key"))
-		holds := false
-		for _, held := range server.holds {
-			holds = holds || (held.from <= key && key <= held.to && time.Now().Before(held.until))
-		}
-		if !holds {
+		if _, holds := server.fenceOf(key); !holds {
 			server.mutex.Unlock()
 			return server.answer(request, 421, "Cuminstream-Not-Executed: 1\r\nCuminstream-Instance-Id: "+server.ID+"\r\n", nil)
 		}
@@ -199,9 +269,16 @@
 		server.cond.Wait()
 	}
 	server.waiting--
+	if _, holds := server.fenceOf(key); server.Sharded && !holds {
+		server.mutex.Unlock()
+		return server.answer(request, 421, "Cuminstream-Not-Executed: 1\r\nCuminstream-Instance-Id: "+server.ID+"\r\n", nil)
+	}
 	server.busy++
 	index := len(server.runs)
 	server.runs = append(server.runs, run{id: id, server: server.ID, begun: time.Now()})
+	if server.Judge != nil {
+		server.Judge.begun(server.ID, id, key)
+	}
 	load := fmt.Sprintf("Cuminstream-Server-Load: %d,%d,%d\r\n", server.busy, server.waiting, server.Slots)
 	server.mutex.Unlock()
 	if server.Work != nil {
--- a/review/kit2/store.go
+++ b/review/kit2/store.go
@@ -33,6 +33,13 @@
 	kind    string
 }
 
+// page is an answer to a list.
+type page struct {
+	Items   []object `json:"items"`
+	HasMore bool     `json:"has-more"`
+	At      uint64   `json:"at"`
+}
+
 // store is a stand-in for the platform's object store. It loses nothing that it has
 // acknowledged, and its responses are linearizable.
 type store struct {
@@ -123,7 +130,13 @@
 	return written
 }
 
+// ServeHTTP implements http.Handler.
 func (store *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	store.serve(writer, request, func(_ string, found object) object { return found })
+}
+
+// serve serves a call. Each object of its answer goes through view.
+func (store *store) serve(writer http.ResponseWriter, request *http.Request, view func(kind string, found object) object) {
 	body, _ := io.ReadAll(request.Body)
 	rest, ok := strings.CutPrefix(request.URL.Path, "/api/objects/")
 	kind, name, named := strings.Cut(rest, "/")
@@ -134,12 +147,20 @@
 	}
 	time.Sleep(4 * time.Millisecond)
 	if request.Method == http.MethodGet && request.URL.Query().Has("watch") {
-		store.watch(writer, request, kind)
+		store.watch(writer, request, kind, view)
 		return
 	}
 	store.mutex.Lock()
 	status, answer := store.call(request, kind, name, named, body)
 	store.mutex.Unlock()
+	switch found := answer.(type) {
+	case object:
+		answer = view(kind, found)
+	case page:
+		for i := range found.Items {
+			found.Items[i] = view(kind, found.Items[i])
+		}
+	}
 	respond(writer, status, answer)
 }
 
@@ -207,18 +228,14 @@
 		}
 	}
 	slices.Sort(names)
-	page := struct {
-		Items   []object `json:"items"`
-		HasMore bool     `json:"has-more"`
-		At      uint64   `json:"at"`
-	}{Items: []object{}, At: store.rev, HasMore: len(names) > pageSize}
+	listed := page{Items: []object{}, At: store.rev, HasMore: len(names) > pageSize}
 	for _, name := range names[:min(len(names), pageSize)] {
-		page.Items = append(page.Items, store.kinds[kind][name])
+		listed.Items = append(listed.Items, store.kinds[kind][name])
 	}
-	return http.StatusOK, page
+	return http.StatusOK, listed
 }
 
-func (store *store) watch(writer http.ResponseWriter, request *http.Request, kind string) {
+func (store *store) watch(writer http.ResponseWriter, request *http.Request, kind string, view func(kind string, found object) object) {
 	since, _ := strconv.ParseUint(request.URL.Query().Get("watch"), 10, 64)
 	waitMs, _ := strconv.Atoi(request.URL.Query().Get("wait-ms"))
 	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
@@ -228,7 +245,7 @@
 		events := []event{}
 		for _, known := range store.history {
 			if known.kind == kind && known.Object.Metadata.Rev > since {
-				events = append(events, known)
+				events = append(events, event{Object: known.Object, Deleted: known.Deleted})
 			}
 		}
 		store.mutex.Unlock()
@@ -247,6 +264,9 @@
 				done = true
 			}
 		}
+		for i := range events {
+			events[i].Object = view(kind, events[i].Object)
+		}
 		if len(events) > 0 || done {
 			respond(writer, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
