Review case 10: a request that crashes servers reaches more of them every 20 s without end

Tried: the caller of a request that crashes each server that runs it sends it again a second after each answer, for a minute; six servers, back 3 s after a crash. No other disruption.

--- a/review/kit2/cases.go
+++ b/review/kit2/cases.go
@@ -13,6 +13,7 @@
 	"version": version,
 	"stop":    stop,
 	"restart": restart,
+	"poison":  poison,
 }
 
 // route is a row of the configuration.
--- a/review/kit2/server.go
+++ b/review/kit2/server.go
@@ -146,6 +146,20 @@
 	server.store.remove("servers", server.ID)
 }
 
+// crash ends the server without a word: its connections are reset, and its entry stays until
+// three check-ins are missing.
+func (server *server) crash() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	close(server.gone)
+	_ = server.listener.Close()
+	for conn := range server.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	time.AfterFunc(3*checkInInterval, func() { server.store.remove("servers", server.ID) })
+}
+
 // startAgain starts the server again under the id and at the address that it had.
 func (server *server) startAgain() {
 	listener, err := net.Listen("tcp", server.Address)
