--- a/review/kit2/stop.go
+++ b/review/kit2/stop.go
@@ -17,6 +17,7 @@
 		uploads = 16
 		work    = time.Second
 		limit   = 8 * time.Second
+		timeout = 4 * time.Second // timeout-s
 	)
 	store := newStore()
 	putConfig(store, 3, []route{{"manifests", "/manifests/", "upload", "manifest-svc", 8, 4, 2, 1}}, map[string]bool{"manifest-svc": false})
@@ -70,7 +71,7 @@
 			begun = "work begun " + runs[0].begun.Sub(term).String() + " after the SIGTERM"
 		}
 		record("%s sent %v after the SIGTERM, ended %v after it: status %d, error %v, %s", got.id, got.sent.Sub(term), got.got.Sub(term), got.status, got.err, begun)
-		if got.status == 0 && len(runs) == 0 && got.got.Sub(got.sent) < limit && got.got.Sub(got.sent) > 200*time.Millisecond {
+		if got.status == 0 && len(runs) == 0 && got.got.Sub(got.sent) < timeout && got.got.Sub(got.sent) > 200*time.Millisecond {
 			lost++
 		}
 	}
