--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 cd review/kit2
-go build -o ../../target/review-2 .
+GOFLAGS="${GOFLAGS:--buildvcs=false}" GOWORK=off go build -o ../../target/review-2 .
