--- a/review/kit2/restart.go
+++ b/review/kit2/restart.go
@@ -15,9 +15,10 @@
 // of the service that is divided by key is drained, ends, and starts again under its id.
 func restart(repository, temporary string) {
 	const (
-		cutFor   = 11 * time.Second
+		cutFor   = 5500 * time.Millisecond
+		since    = time.Second // from the cut to the server's report
 		drain    = 2 * time.Second
-		downtime = time.Second
+		downtime = 500 * time.Millisecond
 	)
 	store := newStore()
 	network := newNetwork(store)
@@ -62,7 +63,7 @@
 		network.cutOff(leader, true)
 		record("%s is cut off from the store and from the other machines", leader)
 	}
-	time.Sleep(2500 * time.Millisecond)
+	time.Sleep(since)
 	record("i-1 reports that it is draining")
 	servers[0].drain()
 	time.Sleep(drain + 300*time.Millisecond)
@@ -71,7 +72,7 @@
 	time.Sleep(downtime)
 	servers[0].startAgain()
 	record("i-1 has started again, and holds nothing")
-	time.Sleep(cutFor - 2500*time.Millisecond - drain - 300*time.Millisecond - downtime)
+	time.Sleep(cutFor - since - drain - 300*time.Millisecond - downtime)
 	network.cutOff(leader, false)
 	record("%s reaches the store and the other machines again", leader)
 	time.Sleep(3 * time.Second)
