Answer requests that wait for a slot before a planned stop closes their connections

Callers saw: 16 uploads arrive 2.5 s after SIGTERM on four slots of a second each. 5.4 s after SIGTERM the VM closed all connections.

Hypotheses: the broker refuses the waiting requests and the answer is dropped; the answer comes too late for the writer; nobody ends the wait before the connections are closed. The log of the VM in the new test, on the code before, has no "slot" and no "answered" line of the waiting requests until 5.4 s after "stopping", and then for each one refused=tooLate, waitedMs=2908, and status 503 with callerLeft=true: the close itself ended the waits. Neither the forwarder nor the broker knew when the VM stops.

Fix: the forwarder is told at SIGTERM when connections will be closed. It ends the wait of a request once the longest recent run of its route no longer fits, and answers 503 with a short Retry-After, since another VM can serve it at once. The broker is told how long the VM can wait (StopsIn), and refuses at once what its forecast sees ending later (rule vmStops). Requests whose time limit passes before the stop wait as before. fronter logs how many requests a stop cuts.

--- a/internal/allocator/acquire.go
+++ b/internal/allocator/acquire.go
@@ -37,7 +37,7 @@
 			"drained", result.Outcome == broker.Unreachable, "busyForMs", result.BusyFor.Milliseconds())
 		allocator.Release(name, slot, result)
 		now := allocator.Clock.Now()
-		request.Timeout, request.Target, began = request.Timeout-now.Sub(began), request.Target-now.Sub(began), now
+		request, began = request.WithElapsed(now.Sub(began)), now
 		if request.Key != broker.NoKey || request.Timeout <= 0 {
 			return courier.Slot{Broker: slot.Broker, Term: slot.Term, Decision: broker.Decision{Refusal: broker.Unavailable, RetryAfter: retryAfter}}
 		}
@@ -74,18 +74,14 @@
 		if ctx.Err() != nil {
 			return courier.Slot{Broker: vm, Term: term, Decision: broker.Decision{Refusal: broker.TooLate}}
 		}
-		elapsed := allocator.Clock.Now().Sub(began)
-		request.Timeout -= elapsed
-		request.Target -= elapsed
+		request = request.WithElapsed(allocator.Clock.Now().Sub(began))
 	}
 	if vm != allocator.VM {
 		began := allocator.Clock.Now()
 		if slot, ok := allocator.acquireFromHolder(ctx, service, request); ok {
 			return slot
 		}
-		elapsed := allocator.Clock.Now().Sub(began)
-		request.Timeout -= elapsed
-		request.Target -= elapsed
+		request = request.WithElapsed(allocator.Clock.Now().Sub(began))
 	}
 	decision := service.broker.Acquire(ctx, request)
 	slot := courier.Slot{Decision: decision}
@@ -137,8 +133,7 @@
 		if err == nil && !answer.NotBroker {
 			return service.addAssigned(vm, answer), true
 		}
-		request.Timeout -= holderTimeout
-		request.Target -= holderTimeout
+		request = request.WithElapsed(holderTimeout)
 	}
 	return courier.Slot{}, false
 }
@@ -146,7 +141,7 @@
 func newAcquireMessage(service *service, request broker.Request) acquireMessage {
 	return acquireMessage{
 		Service: service.name, RequestID: request.ID, Zone: request.Zone, Key: request.Key, Rank: request.Rank, BodyBytes: request.BodyBytes,
-		Retry: request.Retry, Exclude: request.Exclude, Target: request.Target, Timeout: request.Timeout, Fingerprint: request.Fingerprint,
+		Retry: request.Retry, Exclude: request.Exclude, Target: request.Target, Timeout: request.Timeout, StopsIn: request.StopsIn, Fingerprint: request.Fingerprint,
 		Overflow: request.Overflow, Returned: request.Returned, MayHaveRun: request.MayHaveRun,
 	}
 }
--- a/internal/allocator/calls.go
+++ b/internal/allocator/calls.go
@@ -31,7 +31,7 @@
 	}
 	decision := service.broker.Acquire(ctx, broker.Request{
 		ID: message.RequestID, VM: from, Zone: message.Zone, Key: message.Key, Rank: message.Rank, BodyBytes: message.BodyBytes,
-		Retry: message.Retry, Exclude: message.Exclude, Target: message.Target, Timeout: message.Timeout,
+		Retry: message.Retry, Exclude: message.Exclude, Target: message.Target, Timeout: message.Timeout, StopsIn: message.StopsIn,
 		Fingerprint: message.Fingerprint, Overflow: message.Overflow, Returned: message.Returned, MayHaveRun: message.MayHaveRun,
 	})
 	return acquireAnswer{
--- a/internal/allocator/messages.go
+++ b/internal/allocator/messages.go
@@ -34,6 +34,8 @@
 	Overflow   bool `cbor:"12,keyasint,omitempty"`
 	Returned   bool `cbor:"13,keyasint,omitempty"`
 	MayHaveRun bool `cbor:"15,keyasint,omitempty"`
+	// StopsIn is as in broker.Request.
+	StopsIn time.Duration `cbor:"16,keyasint,omitempty"`
 	// Local asks a VM that is not the broker for a slot that it may assign in local mode.
 	// Other versions answer that they are not the broker.
 	Local bool `cbor:"14,keyasint,omitempty"`
--- a/internal/courier/allowance.go
+++ b/internal/courier/allowance.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
-	"time"
 
 	"github.com/cuminstream/cuminstream/internal/accountant"
 	"github.com/cuminstream/cuminstream/internal/fronter"
@@ -15,56 +13,8 @@
 	// largeResponse is what the sender buffers of a response at most. It is reserved on
 	// routes with large responses while no size is known.
 	largeResponse = 256 << 10
-	// sizeWindow is the time for which the largest response of a route is remembered, at
-	// least; at most twice as long.
-	sizeWindow = 30 * time.Second
 )
 
-// responseSizes remembers the sizes of the largest recent responses of routes.
-type responseSizes struct {
-	mutex  sync.Mutex
-	routes map[string]*routeSizes
-}
-
-type routeSizes struct {
-	since             time.Time // begin of the current window
-	current, previous int64     // largest of the current and of the previous window
-}
-
-// window returns the sizes of a route after their windows have moved on. The mutex is held.
-func (sizes *responseSizes) window(route string, now time.Time) *routeSizes {
-	if sizes.routes == nil {
-		sizes.routes = map[string]*routeSizes{}
-	}
-	known := sizes.routes[route]
-	if known == nil {
-		known = &routeSizes{since: now}
-		sizes.routes[route] = known
-	}
-	if age := now.Sub(known.since); age >= 2*sizeWindow {
-		*known = routeSizes{since: now}
-	} else if age >= sizeWindow {
-		*known = routeSizes{since: now, previous: known.current}
-	}
-	return known
-}
-
-// add records the size of a response.
-func (sizes *responseSizes) add(route string, size int64, now time.Time) {
-	sizes.mutex.Lock()
-	defer sizes.mutex.Unlock()
-	known := sizes.window(route, now)
-	known.current = max(known.current, size)
-}
-
-// largest returns the size of the largest recent response; 0 if there was none.
-func (sizes *responseSizes) largest(route string, now time.Time) int64 {
-	sizes.mutex.Lock()
-	defer sizes.mutex.Unlock()
-	known := sizes.window(route, now)
-	return max(known.current, known.previous)
-}
-
 // reserveResponse reserves what a usual response takes, before the request waits for a slot.
 // It returns an answer if there is no room.
 func (exchange *exchange) reserveResponse() *fronter.Response { return exchange.allow(usualResponse) }
--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -19,14 +19,11 @@
 // attempt acquires a slot and sends the request once. It returns nil if the request
 // is to be tried again.
 func (exchange *exchange) attempt(ctx context.Context) *fronter.Response {
-	now := exchange.Clock.Now()
-	slot := exchange.Allocator.Acquire(ctx, exchange.service.Name, broker.Request{
-		ID: exchange.id, VM: exchange.VM, Zone: exchange.Zone, Key: exchange.key, Rank: exchange.route.Rank,
-		BodyBytes: max(exchange.request.ContentLength, int64(len(exchange.bufferedBody))), Retry: exchange.sentAttempts > 0, Exclude: exchange.excludedUpstreams,
-		Target: exchange.target.Sub(now), Timeout: exchange.deadline.Sub(now),
-		Fingerprint: exchange.fingerprint(), Overflow: exchange.route.IsOverflow(exchange.service.Name), Returned: exchange.sentAgo > 0, MayHaveRun: exchange.mayHaveRun,
-	})
+	slot, stopped := exchange.acquireSlot(ctx)
 	exchange.logSlot(slot)
+	if stopped {
+		return exchange.answerStopping()
+	}
 	if slot.Refusal != "" {
 		return exchange.answerRefusal(ctx, slot)
 	}
@@ -46,16 +43,33 @@
 			result.FreeSlot, result.Slowness = load.Running < slot.Upstream.Slots, load.Slowness
 		}
 	}
-	if response == nil || response.Rest == nil {
+	release := func() {
 		exchange.Allocator.Release(exchange.service.Name, slot, result)
+		if now := exchange.Clock.Now(); response != nil {
+			exchange.runTimes.add(exchange.route.Name, int64(now.Sub(sent)), now)
+		}
+	}
+	if response == nil || response.Rest == nil {
+		release()
 	} else {
-		response.Rest = &slotReleasingBody{ReadCloser: response.Rest, release: func() { exchange.Allocator.Release(exchange.service.Name, slot, result) }}
+		response.Rest = &slotReleasingBody{ReadCloser: response.Rest, release: release}
 	}
 	exchange.logSent(slot, result, response, err)
 	exchange.Metrics.observeAttempt(exchange.service.Name, result)
 	return exchange.answerOrRetry(ctx, slot.Upstream, result, response)
 }
 
+// slotRequest returns the request for a slot.
+func (exchange *exchange) slotRequest() broker.Request {
+	now := exchange.Clock.Now()
+	return broker.Request{
+		ID: exchange.id, VM: exchange.VM, Zone: exchange.Zone, Key: exchange.key, Rank: exchange.route.Rank,
+		BodyBytes: max(exchange.request.ContentLength, int64(len(exchange.bufferedBody))), Retry: exchange.sentAttempts > 0, Exclude: exchange.excludedUpstreams,
+		Target: exchange.target.Sub(now), Timeout: exchange.deadline.Sub(now), StopsIn: exchange.timeToStop(),
+		Fingerprint: exchange.fingerprint(), Overflow: exchange.route.IsOverflow(exchange.service.Name), Returned: exchange.sentAgo > 0, MayHaveRun: exchange.mayHaveRun,
+	}
+}
+
 // fingerprint returns a hash of the method, host, target and buffered body, which
 // identifies a request that crashes upstreams when it is sent again.
 func (exchange *exchange) fingerprint() uint64 {
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -72,7 +72,9 @@
 	Random func() float64
 
 	table         atomic.Pointer[matcher.Table]
-	responseSizes responseSizes
+	responseSizes routeMaxima
+	runTimes      routeMaxima // from the send to the end of the response, in nanoseconds
+	stop          stopSchedule
 	mutex         sync.Mutex
 	splitters     map[string]*routeSplitter
 	repeats       recognizer.Recognizer
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -125,6 +125,7 @@
 		Routes: []matcher.Route{
 			{Name: "read", Host: "h", PathPrefix: "/read/", Idempotent: true, Timeout: time.Second, TargetLatency: 300 * time.Millisecond, MaxAttempts: 2, Services: onlyService("bookings")},
 			{Name: "book", Host: "h", PathPrefix: "/book/", Timeout: time.Second, TargetLatency: 300 * time.Millisecond, MaxAttempts: 2, Services: onlyService("bookings")},
+			{Name: "long", Host: "h", PathPrefix: "/long/", Timeout: 8 * time.Second, TargetLatency: time.Second, MaxAttempts: 2, Services: onlyService("bookings")},
 			{Name: "keyed", Host: "h", PathPrefix: "/keyed/", Idempotent: true, Timeout: time.Second, MaxAttempts: 2, Services: onlyService("quotes")},
 			{Name: "unusable", Host: "h", PathPrefix: "/unusable/", Fault: errors.New("kind")},
 		},
--- a/internal/edger/edger.go
+++ b/internal/edger/edger.go
@@ -187,9 +187,10 @@
 	group.Go(func() error { return edge.closeStaleConnections(componentsCtx) })
 	account := accountant.New(accountant.LimitsFor(edge.MemoryBytes), edge.Clock, edge.Log)
 	accountant.NewMetrics(edge.Registry, account)
+	stopTimeout := max(edge.GracePeriod-stopReserve, stopNotice)
 	server := &fronter.Server{
 		Listener: callerListener, Handler: edge.courier, Clock: edge.Clock, Log: edge.Log, Limits: edge.courier.Limits,
-		StopNotice: stopNotice, StopTimeout: max(edge.GracePeriod-stopReserve, stopNotice),
+		StopNotice: stopNotice, StopTimeout: stopTimeout,
 		Account: account, MaxConnections: accountant.MaxConnections(edge.MaxFDs),
 	}
 	group.Go(func() error { return account.Run(componentsCtx) })
@@ -209,9 +210,9 @@
 		case <-ctx.Done():
 			edge.stopping.Store(true)
 			edge.Log.Info("stopping")
+			_ = edge.courier.Stop(componentsCtx, edge.Clock.Now().Add(stopTimeout)) // returns when componentsCtx is done
 		case <-componentsCtx.Done():
 		}
-		<-componentsCtx.Done()
 		return readyServer.Close()
 	})
 	err = group.Wait()
--- a/internal/fronter/connection.go
+++ b/internal/fronter/connection.go
@@ -84,6 +84,13 @@
 	_ = conn.netConn.Close()
 }
 
+// pendingRequests returns the number of requests without a complete response.
+func (conn *connection) pendingRequests() int {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return len(conn.pending)
+}
+
 // closeAfterPending closes the connection if it has no pending request and none has
 // begun to arrive. If requests are pending, no further one is read.
 func (conn *connection) closeAfterPending() {
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -144,12 +144,22 @@
 		}
 		_ = clocker.Sleep(background, server.Clock, stopPollInterval)
 	}
+	server.abortConnections()
+	return server.group.Wait()
+}
+
+// abortConnections closes the connections that are still open at the end of a shutdown.
+func (server *Server) abortConnections() {
 	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	unanswered := 0
 	for conn := range server.connections {
+		unanswered += conn.pendingRequests()
 		conn.abort()
 	}
-	server.mutex.Unlock()
-	return server.group.Wait()
+	if unanswered > 0 {
+		server.Log.Warn("requests cut off at the end of the shutdown", "connections", len(server.connections), "requests", unanswered)
+	}
 }
 
 // stopPollInterval is how often the open connections are checked during shutdown.
--- a/pkg/broker/admission.go
+++ b/pkg/broker/admission.go
@@ -48,6 +48,10 @@
 	if !ok {
 		return refuse(Unavailable, min(time.Second, request.Timeout/4)) // callers wait for up to a third
 	}
+	if request.StopsIn > 0 && forecast.wait()+forecast.serviceTime > request.StopsIn.Seconds() {
+		// Another VM can wait for longer.
+		return Decision{Refusal: TooLate, Rule: RuleVMStops, RetryAfter: RefusedRetryAfter(request.Target, broker.Random()), QueueLength: waiter.queueLength}, true
+	}
 	if waiter.overloaded && forecast.neededShare > threshold {
 		return broker.admitOverloaded(waiter, forecast, now)
 	}
--- a/pkg/broker/types.go
+++ b/pkg/broker/types.go
@@ -52,10 +52,23 @@
 	Target time.Duration
 	// Timeout is the time left until the response is of no use.
 	Timeout time.Duration
+	// StopsIn is the time left until the VM that sends the request stops and can deliver no
+	// response any more; 0 if it does not stop before the Timeout.
+	StopsIn time.Duration
 	// Fingerprint is the same for requests with the same method, target and body.
 	Fingerprint uint64
 }
 
+// WithElapsed returns the request after a part of its time has passed.
+func (request Request) WithElapsed(elapsed time.Duration) Request {
+	request.Target -= elapsed
+	request.Timeout -= elapsed
+	if request.StopsIn > 0 {
+		request.StopsIn = max(request.StopsIn-elapsed, time.Nanosecond)
+	}
+	return request
+}
+
 // RefusalReason says why a request was refused.
 type RefusalReason string
 
@@ -79,6 +92,7 @@
 	RuleMissesDeadline AdmissionRule = "missesDeadline" // it would end too close to its deadline
 	RuleDisplaced      AdmissionRule = "displaced"      // under overload, requests that go first have taken its time
 	RuleLate           AdmissionRule = "late"           // under overload, its target cannot be met any more
+	RuleVMStops        AdmissionRule = "vmStops"        // it would end after the VM that sends it has stopped
 )
 
 // Decision is the answer to a Request: a slot or a refusal.
