Refuse requests that a planned stop would cut in their run

A report of other operators, which this system showed too: requests that came late in the grace period of a planned stop were taken and passed on, and were cut at its end while upstreams ran them, among them requests that may not be repeated.

Cause: a request that got a slot was sent however little time the stop left.

Fix: a request is sent only if the longest recent run of its route fits into the time that the stop leaves, or if its own time limit passes before. That is checked before it waits for a slot and when it has one; a slot that comes too late goes back unused. An upload whose body is still arriving is refused at the same time, instead of being cut without an answer.

--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -19,6 +19,9 @@
 // attempt acquires a slot and sends the request once. It returns nil if the request
 // is to be tried again.
 func (exchange *exchange) attempt(ctx context.Context) *fronter.Response {
+	if exchange.endsAfterStop() {
+		return exchange.answerStopping()
+	}
 	slot, stopped := exchange.acquireSlot(ctx)
 	exchange.logSlot(slot)
 	if stopped {
@@ -27,7 +30,11 @@
 	if slot.Refusal != "" {
 		return exchange.answerRefusal(ctx, slot)
 	}
-	if answer := exchange.reserveExpected(); answer != nil {
+	answer := exchange.reserveExpected()
+	if exchange.endsAfterStop() {
+		answer = exchange.answerStopping()
+	}
+	if answer != nil {
 		exchange.Allocator.Release(exchange.service.Name, slot, broker.Result{Ticket: slot.Ticket, Outcome: broker.Abandoned})
 		return answer
 	}
--- a/internal/courier/body.go
+++ b/internal/courier/body.go
@@ -40,6 +40,8 @@
 		return exchange.answerWith(http.StatusRequestEntityTooLarge, "the body exceeds the limit")
 	}
 	request.SetBodyDeadline(exchange.deadline)
+	exchange.stop.add(exchange, func() { request.SetBodyDeadline(time.Unix(1, 0)) })
+	defer exchange.stop.remove(exchange)
 	body, reason, err := readReserved(request, maxBufferedBody)
 	if reason == "" && (err == nil || err == io.EOF) {
 		exchange.bufferedBody = body
@@ -56,6 +58,8 @@
 		return exchange.answerNotRun(http.StatusServiceUnavailable, err.Error(), shortRetryAfter)
 	case errors.Is(err, fronter.ErrBodyTooLarge):
 		return exchange.answerWith(http.StatusRequestEntityTooLarge, "the body exceeds the limit")
+	case isTimeout(err) && exchange.endsAfterStop():
+		return exchange.answerStopping()
 	case isTimeout(err):
 		return exchange.answerNotRun(http.StatusRequestTimeout, "the body did not arrive in time", 0)
 	default:
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -46,16 +46,21 @@
 type fakeBackend struct {
 	refusal      broker.RefusalReason
 	acquireDelay time.Duration
-	slotRequests []broker.Request
-	results      []broker.Result
-	requests     []*sender.Request
-	notices      []broker.Notice
+	// ignoresContext makes Acquire return a slot although the wait for it has ended.
+	ignoresContext bool
+	slotRequests   []broker.Request
+	results        []broker.Result
+	requests       []*sender.Request
+	notices        []broker.Notice
 	// responses are used in order; the last one is repeated.
 	responses []func(ctx context.Context, request *sender.Request) (*sender.Response, error)
 }
 
 func (backend *fakeBackend) Acquire(ctx context.Context, _ string, request broker.Request) courier.Slot {
 	backend.slotRequests = append(backend.slotRequests, request)
+	if backend.ignoresContext {
+		ctx = context.WithoutCancel(ctx)
+	}
 	select {
 	case <-time.After(backend.acquireDelay):
 	case <-ctx.Done():
--- a/internal/courier/stop.go
+++ b/internal/courier/stop.go
@@ -23,11 +23,11 @@
 var errStopping = errors.New("the VM stops before the request could end")
 
 // stopSchedule holds the time at which a stop of this VM closes all connections, and the
-// requests that wait for a slot.
+// requests that wait for their body or for a slot.
 type stopSchedule struct {
 	mutex   sync.Mutex
 	endsAt  time.Time // zero until a stop begins
-	waiting map[*exchange]context.CancelCauseFunc
+	waiting map[*exchange]func()
 }
 
 // begin starts a stop that closes all connections at the given time.
@@ -45,15 +45,17 @@
 	return schedule.endsAt.Add(-answerMargin), !schedule.endsAt.IsZero()
 }
 
-func (schedule *stopSchedule) add(waiter *exchange, cancel context.CancelCauseFunc) {
+// add records that a request begins to wait. endWait may be called more than once.
+func (schedule *stopSchedule) add(waiter *exchange, endWait func()) {
 	schedule.mutex.Lock()
 	defer schedule.mutex.Unlock()
 	if schedule.waiting == nil {
-		schedule.waiting = map[*exchange]context.CancelCauseFunc{}
+		schedule.waiting = map[*exchange]func(){}
 	}
-	schedule.waiting[waiter] = cancel
+	schedule.waiting[waiter] = endWait
 }
 
+// remove records that a request does not wait any more.
 func (schedule *stopSchedule) remove(waiter *exchange) {
 	schedule.mutex.Lock()
 	defer schedule.mutex.Unlock()
@@ -61,7 +63,7 @@
 }
 
 // waits returns the waiting requests with the functions that end their waits.
-func (schedule *stopSchedule) waits() map[*exchange]context.CancelCauseFunc {
+func (schedule *stopSchedule) waits() map[*exchange]func() {
 	schedule.mutex.Lock()
 	defer schedule.mutex.Unlock()
 	return maps.Clone(schedule.waiting)
@@ -75,9 +77,9 @@
 	ticker := forwarder.Clock.NewTicker(stopCheckInterval)
 	defer ticker.Stop()
 	for {
-		for exchange, cancel := range forwarder.stop.waits() {
+		for exchange, endWait := range forwarder.stop.waits() {
 			if exchange.endsAfterStop() {
-				cancel(errStopping)
+				endWait()
 			}
 		}
 		select {
@@ -119,7 +121,7 @@
 func (exchange *exchange) acquireSlot(ctx context.Context) (slot Slot, stopped bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	exchange.stop.add(exchange, cancel)
+	exchange.stop.add(exchange, func() { cancel(errStopping) })
 	defer exchange.stop.remove(exchange)
 	slot = exchange.Allocator.Acquire(ctx, exchange.service.Name, exchange.slotRequest())
 	return slot, slot.Refusal != "" && errors.Is(context.Cause(ctx), errStopping)
--- a/internal/courier/stop_test.go
+++ b/internal/courier/stop_test.go
@@ -10,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cuminstream/cuminstream/internal/courier"
+	"github.com/cuminstream/cuminstream/internal/sender"
+	"github.com/cuminstream/cuminstream/pkg/broker"
 )
 
 // stopFor begins a stop that closes all connections after a time, and runs the function.
@@ -59,3 +61,48 @@
 		}
 	})
 }
+
+// runFor is a run that takes a while and is served.
+func runFor(d time.Duration) sendFunc {
+	return func(ctx context.Context, request *sender.Request) (*sender.Response, error) {
+		time.Sleep(d)
+		return served(ctx, request)
+	}
+}
+
+// Guards against a request that is passed on late in a stop, when a slot is free, and is cut
+// while an upstream runs it: most runs are short, but the longest recent one is not.
+func TestStopRefusesWhatMightNotEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &fakeBackend{responses: []sendFunc{runFor(time.Second), runFor(10 * time.Millisecond)}}
+		forwarder := newForwarder(backend)
+		for range 5 {
+			assert.Equal(t, forwarder.Serve(t.Context(), request("/long/1", "Left", "7s")).Status, 200)
+		}
+		stopFor(t, forwarder, 3*time.Second, func() {
+			assert.Equal(t, forwarder.Serve(t.Context(), request("/long/1", "Left", "7s")).Status, 200)
+			time.Sleep(2 * time.Second)
+			began := time.Now()
+			answer := forwarder.Serve(t.Context(), request("/long/1", "Left", "7s"))
+			assert.Equal(t, answer.Status, 503)
+			assert.Assert(t, answer.Header.Get("Retry-After") != "")
+			assert.Equal(t, time.Since(began), time.Duration(0), "another VM can serve it at once")
+			assert.Equal(t, forwarder.Serve(t.Context(), request("/long/1", "Left", "700ms")).Status, 200, "it is answered at its deadline, before the stop")
+		})
+		assert.Equal(t, len(backend.requests), 7)
+	})
+}
+
+// Guards against a slot that is assigned so late that the stop cuts the run. It goes back to
+// the broker unused.
+func TestStopReturnsSlotsThatComeTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &fakeBackend{acquireDelay: 2 * time.Second, responses: []sendFunc{served}, ignoresContext: true}
+		forwarder := newForwarder(backend)
+		stopFor(t, forwarder, 2500*time.Millisecond, func() {
+			assert.Equal(t, forwarder.Serve(t.Context(), request("/long/1", "Left", "7s")).Status, 503)
+		})
+		assert.Equal(t, len(backend.requests), 0)
+		assert.Equal(t, backend.results[0].Outcome, broker.Abandoned)
+	})
+}
--- a/internal/edger/late_stop_test.go
+++ b/internal/edger/late_stop_test.go
@@ -134,3 +134,28 @@
 	})
 	assert.Assert(t, assertAnswered(t, uploads, upstream) >= 4)
 }
+
+// Guards against a planned stop that passes on a request that arrives as a whole late in the
+// grace period, and cuts it while an upstream runs it. Uploads that are incomplete by then are
+// refused too.
+func TestPlannedStopRefusesRequestsThatArriveLate(t *testing.T) {
+	t.Parallel()
+	uploads, upstream := stopUnderUploads(t, func(address string) []*upload {
+		time.Sleep(2400 * time.Millisecond)
+		var late []*upload
+		var answered sync.WaitGroup
+		for i := range 4 {
+			created := newUpload(t, address, fmt.Sprintf("0002%012x", i))
+			created.send(1)
+			late = append(late, created)
+			answered.Go(created.receive)
+		}
+		time.Sleep(2300 * time.Millisecond)
+		for _, upload := range late[:2] {
+			_, _ = io.WriteString(upload.conn, "a")
+		}
+		answered.Wait()
+		return late
+	})
+	assert.Equal(t, assertAnswered(t, uploads, upstream), 0)
+}
