Send grants on new connections only after the broker was confirmed

Meanwhile an upstream was drained, ended and started again under its ID. It took grants of the broker that was cut off, with a fencing token below those with which others had the keys, and two upstreams began requests on the same keys.

Hypotheses: the next broker moves the keys before their release is confirmed; a grant of the former broker arrives late; the former broker goes on renewing, and the new process of the upstream takes that.

Cause: fencing tokens are known to one process of an upstream. A grant names the upstream by ID, and a broker may renew for 8 s after the store last confirmed it, so its renewal reached the next process over a new connection.

Fix: a connection is used for grants only if the store, or without it a majority of VMs, has confirmed this process as the broker after the connection was opened (Authority.Confirm). If another broker has had the keys released since, the process at the other end knows its token, or has ended with the connection. Connections that are open go on to be used in a cut. Calls that overlap share their reads of the claim. A line "grant accepted after failures" is new.

--- a/internal/allocator/authority.go
+++ b/internal/allocator/authority.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cuminstream/cuminstream/internal/keeper"
@@ -20,6 +21,9 @@
 	verifyInterval = time.Second
 	// verifyTimeout bounds one read.
 	verifyTimeout = time.Second
+	// confirmInterval is the time between the reads, and between looks at acknowledgments,
+	// of Confirm.
+	confirmInterval = 50 * time.Millisecond
 	// verificationTTL is how long a confirmed claim remains valid. It is below
 	// staleRenewalWindow, and long enough for a zone that is partitioned for some
 	// seconds to continue to serve.
@@ -42,6 +46,43 @@
 // MayRelyOnExpiry implements keeper.Authority.
 func (service *service) MayRelyOnExpiry() bool { return service.acknowledgedByMajority() }
 
+// Confirm implements keeper.Authority. Calls at the same time share the reads of the claim.
+// Without the store, acknowledgments of a majority of VMs take their place.
+func (service *service) Confirm(ctx context.Context) error {
+	clock := service.allocator.Clock
+	began := clock.Now()
+	for reads := 0; !service.confirmedSince(began); reads++ {
+		service.mutex.Lock()
+		leading := service.leading
+		service.mutex.Unlock()
+		if !leading {
+			return keeper.ErrReplaced
+		}
+		bound, cancel := clocker.WithTimeout(ctx, clock, confirmInterval)
+		if reads > 1 { // the first one may have been in progress before
+			<-bound.Done()
+		}
+		select {
+		case <-service.startVerification(context.WithoutCancel(ctx)):
+		case <-bound.Done():
+		}
+		cancel()
+		if err := context.Cause(ctx); err != nil {
+			return fmt.Errorf("neither the store nor a majority of VMs confirms that this VM is the broker: %w", err)
+		}
+	}
+	return nil
+}
+
+// confirmedSince reports whether the store or a majority of VMs has confirmed since the given
+// time that this process is the broker.
+func (service *service) confirmedSince(since time.Time) bool {
+	service.mutex.Lock()
+	verified := !service.verifiedAt.Before(since)
+	service.mutex.Unlock()
+	return verified || service.acknowledgedSince(since)
+}
+
 // recordAcknowledgment records that the report of a VM named this process as the broker
 // in the term. It removes the VM's acknowledgment if this process does not lead in that
 // term.
@@ -58,13 +99,18 @@
 // acknowledgedByMajority reports whether more than half of the registered VMs, this one
 // included, have recently acknowledged this process as the broker.
 func (service *service) acknowledgedByMajority() bool {
+	return service.acknowledgedSince(service.allocator.Clock.Now().Add(-acknowledgmentTTL))
+}
+
+// acknowledgedSince reports whether more than half of the registered VMs, this one included,
+// have acknowledged this process as the broker after the given time.
+func (service *service) acknowledgedSince(since time.Time) bool {
 	vms := service.allocator.Members.VMs()
-	now := service.allocator.Clock.Now()
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
 	count := 0
 	for _, vm := range vms {
-		if vm == service.allocator.VM || now.Sub(service.acknowledgedAt[vm]) < acknowledgmentTTL {
+		if vm == service.allocator.VM || service.acknowledgedAt[vm].After(since) {
 			count++
 		}
 	}
@@ -77,15 +123,11 @@
 	leading := false
 	for _, service := range allocator.allServices() {
 		service.mutex.Lock()
-		due := service.keyed && service.leading && !service.verifying
-		service.verifying = service.verifying || due
-		leading = leading || (service.keyed && service.leading)
+		due := service.keyed && service.leading
+		leading = leading || due
 		service.mutex.Unlock()
 		if due {
-			allocator.tasks.Go(func() error {
-				service.verifyClaim(ctx)
-				return nil
-			})
+			service.startVerification(ctx)
 		}
 	}
 	if !leading {
@@ -93,6 +135,23 @@
 	}
 }
 
+// startVerification starts to verify the claim unless that is in progress. The channel is
+// closed at the end.
+func (service *service) startVerification(ctx context.Context) <-chan struct{} {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if service.verification == nil {
+		done := make(chan struct{})
+		service.verification = done
+		service.allocator.tasks.Go(func() error {
+			defer close(done)
+			service.verifyClaim(ctx)
+			return nil
+		})
+	}
+	return service.verification
+}
+
 // verifyClaim reads the service's claim from the store, records the time if the claim is
 // unchanged, and applies it. After a restore of the store, an unchanged claim proves that
 // there is no other broker only once the ledger is settled.
@@ -103,7 +162,7 @@
 	defer cancel()
 	object, err := allocator.Store.Get(bound, KindBrokers, service.name)
 	service.mutex.Lock()
-	service.verifying = false
+	service.verification = nil
 	service.mutex.Unlock()
 	allocator.observeEra(object.Era)
 	isLost := errors.Is(err, storer.ErrNotFound) && object.Era > 0 // by a restore: it is written again
--- a/internal/allocator/service.go
+++ b/internal/allocator/service.go
@@ -47,7 +47,7 @@
 	// verifiedAt is when the store last confirmed the claim of this process, and
 	// acknowledgedAt when each VM last acknowledged this process as the broker.
 	verifiedAt     time.Time
-	verifying      bool
+	verification   chan struct{} // closed at the end of the read of the claim in progress; nil if there is none
 	acknowledgedAt map[string]time.Time
 	// claimedAt is when this process wrote its claim in the era claimedIn, and confirmed
 	// what other VMs have confirmed to it as the broker.
--- a/internal/allocator/system_test.go
+++ b/internal/allocator/system_test.go
@@ -41,6 +41,8 @@
 	holdings    *holdings               // checks grants, if not nil
 	granted     [broker.KeyCount]string // the upstream that got the last grant, by key
 	unreachable string                  // the upstream that answers no release
+	reconnects  bool                    // each grant needs a new connection
+	grants      map[string]int          // sent, by VM
 
 	maxStaleness time.Duration // of VMs that are started
 }
@@ -266,12 +268,21 @@
 	vm     *vm
 }
 
-func (granter granter) Grant(_ context.Context, owner keeper.Owner, grant keeper.Grant) error {
+func (granter granter) Grant(ctx context.Context, owner keeper.Owner, grant keeper.Grant, confirm func(context.Context) error) error {
+	granter.system.mutex.Lock()
+	reconnects := granter.system.reconnects
+	granter.system.mutex.Unlock()
+	if reconnects {
+		if err := confirm(ctx); err != nil {
+			return err
+		}
+	}
 	granter.system.mutex.Lock()
 	defer granter.system.mutex.Unlock()
 	if granter.vm.killed {
 		return errUnreachable
 	}
+	granter.system.grants[granter.vm.name]++
 	for key := grant.Keys.From; key <= grant.Keys.To; key++ {
 		granter.system.granted[key] = owner.ID
 	}
@@ -365,7 +376,7 @@
 // runWithCPUShares runs a test in a system of VMs, which start one after the other.
 func runWithCPUShares(t *testing.T, count int, cpuShares map[string]float64, test func(t *testing.T, system *system, vms []*vm)) {
 	synctest.Test(t, func(t *testing.T) {
-		system := &system{vms: map[string]*vm{}, objects: map[string]storer.Object{}, cpuShares: cpuShares}
+		system := &system{vms: map[string]*vm{}, objects: map[string]storer.Object{}, cpuShares: cpuShares, grants: map[string]int{}}
 		var vms []*vm
 		for i := range count {
 			vms = append(vms, system.start(fmt.Sprint("vm", i)))
--- a/internal/edger/fleet_bench_test.go
+++ b/internal/edger/fleet_bench_test.go
@@ -27,7 +27,9 @@
 // acceptingGranter is a keeper.Granter of upstreams that accept everything.
 type acceptingGranter struct{}
 
-func (acceptingGranter) Grant(context.Context, keeper.Owner, keeper.Grant) error { return nil }
+func (acceptingGranter) Grant(ctx context.Context, _ keeper.Owner, _ keeper.Grant, confirm func(context.Context) error) error {
+	return confirm(ctx)
+}
 
 func (acceptingGranter) Release(context.Context, keeper.Owner, keeper.Range, uint64) (string, error) {
 	return "token", nil
--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -31,6 +31,7 @@
 
 	upstreams map[string]*fakeUpstream // by address
 	objects   map[string]storer.Object
+	claimed   uint64 // term of the last broker that has written its claim
 	era       uint64 // of the store
 	revision  uint64
 	storeDown bool
@@ -163,6 +164,9 @@
 type fakeGranter struct {
 	cluster *cluster
 	term    uint64
+	// connections are the open ones, by address, with the process at the other end. A call
+	// that fails closes its connection.
+	connections map[string]*fakeUpstream
 }
 
 // waitForCancel waits until the context is done.
@@ -171,15 +175,42 @@
 	return errCallFailed
 }
 
-func (granter fakeGranter) Grant(ctx context.Context, owner keeper.Owner, grant keeper.Grant) error {
+// connect returns the process of the upstream at the address, over the open connection or a
+// new one, which it confirms. The mutex is held, and released during the confirmation.
+func (granter fakeGranter) connect(ctx context.Context, address string, confirm func(ctx context.Context) error) (*fakeUpstream, error) {
+	cluster := granter.cluster
+	upstream := cluster.upstreams[address]
+	if upstream != nil && granter.connections[address] != upstream {
+		delete(granter.connections, address)
+		cluster.mutex.Unlock()
+		err := confirm(ctx)
+		cluster.mutex.Lock()
+		if err != nil {
+			return nil, err
+		}
+		granter.connections[address] = upstream
+	}
+	if upstream == nil || !upstream.running || upstream.unreachable || ctx.Err() != nil {
+		return nil, errCallFailed
+	}
+	return upstream, nil
+}
+
+func (granter fakeGranter) Grant(ctx context.Context, owner keeper.Owner, grant keeper.Grant, confirm func(ctx context.Context) error) (err error) {
 	address := owner.Address
 	time.Sleep(2 * time.Millisecond)
 	cluster := granter.cluster
 	cluster.mutex.Lock()
-	upstream := cluster.upstreams[address]
+	defer func() {
+		if err != nil && !errors.Is(err, keeper.ErrFenced) {
+			cluster.mutex.Lock()
+			delete(granter.connections, address)
+			cluster.mutex.Unlock()
+		}
+	}()
 	draw := cluster.random.Float64()
-	reachable := upstream != nil && upstream.running && !upstream.unreachable && ctx.Err() == nil
-	if !reachable {
+	upstream, err := granter.connect(ctx, address, confirm)
+	if err != nil {
 		cluster.mutex.Unlock()
 		return waitForCancel(ctx)
 	}
@@ -195,7 +226,7 @@
 		cluster.mutex.Unlock()
 		return waitForCancel(ctx)
 	}
-	err := cluster.acceptGrant(upstream, grant, arrived)
+	err = cluster.acceptGrant(upstream, grant, arrived)
 	lost := draw < cluster.lateGrantRate+cluster.lostAnswerRate
 	cluster.recordEvent(fmt.Sprint("grant: ", err, ", answer lost: ", lost), granter.term, address, grant.Keys, grant.Fence)
 	cluster.mutex.Unlock()
@@ -310,6 +341,7 @@
 // fakeAuthority is the authority of one broker.
 type fakeAuthority struct {
 	cluster      *cluster
+	term         uint64
 	mutex        sync.Mutex
 	era          uint64
 	claimedAt    time.Time // in this era
@@ -326,6 +358,18 @@
 
 func (authority *fakeAuthority) MayRelyOnExpiry() bool { return authority.relyOnExpiry }
 
+// Confirm implements keeper.Authority: no VM and no store confirms a broker that was replaced.
+func (authority *fakeAuthority) Confirm(ctx context.Context) error {
+	time.Sleep(4 * time.Millisecond)
+	authority.cluster.mutex.Lock()
+	replaced := authority.cluster.claimed > authority.term
+	authority.cluster.mutex.Unlock()
+	if replaced {
+		return waitForCancel(ctx)
+	}
+	return nil
+}
+
 // Era implements keeper.Authority. The broker writes its claim as soon as it knows the era.
 func (authority *fakeAuthority) Era() keeper.EraStatus {
 	authority.cluster.mutex.Lock()
@@ -361,11 +405,14 @@
 // startBroker starts a broker in the given term.
 func (cluster *cluster) startBroker(term uint64, staleRenewals time.Duration) *runningBroker {
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &runningBroker{authority: &fakeAuthority{cluster: cluster, relyOnExpiry: true}, cancel: cancel, done: make(chan struct{})}
+	cluster.mutex.Lock()
+	cluster.claimed = max(cluster.claimed, term)
+	cluster.mutex.Unlock()
+	started := &runningBroker{authority: &fakeAuthority{cluster: cluster, term: term, relyOnExpiry: true}, cancel: cancel, done: make(chan struct{})}
 	started.broker = &broker.Broker{Service: "quotes", Clock: clocker.System{}}
 	started.keeper = &keeper.Keeper{
 		Service: "quotes", BootID: fmt.Sprint("boot", term), Term: term, Clock: clocker.System{}, Store: fakeStore{cluster: cluster, cutOff: &started.cutOff},
-		Granter: fakeGranter{cluster, term}, Broker: started.broker, Log: slog.New(slog.DiscardHandler), MaxGrantTTL: 10 * time.Second,
+		Granter: fakeGranter{cluster, term, map[string]*fakeUpstream{}}, Broker: started.broker, Log: slog.New(slog.DiscardHandler), MaxGrantTTL: 10 * time.Second,
 		StaleRenewals: staleRenewals, RestoredRenewals: restoredRenewals, Authority: started.authority,
 	}
 	started.keeper.Init()
--- a/internal/keeper/grant.go
+++ b/internal/keeper/grant.go
@@ -57,6 +57,12 @@
 }
 
 // sendGrant grants the keys to their owner, or renews its grant.
+//
+// A connection is used only if this process was certainly the broker after the connection was
+// opened. If another process has become the broker since, and has made the upstream release
+// keys, then either the process at the other end knows the higher fencing token of the release,
+// or it has ended, and the connection with it. On a new connection, an upstream that has
+// restarted under its ID would accept a grant of a broker that was replaced without noticing.
 func (keeper *Keeper) sendGrant(assignment *assignment, now time.Time) {
 	owner := *assignment.owner
 	incarnation := owner.incarnation()
@@ -68,7 +74,7 @@
 	keeper.group.Go(func() error {
 		ctx, cancel := clocker.WithTimeout(keeper.ctx, keeper.Clock, grantTimeout)
 		defer cancel()
-		err := keeper.Granter.Grant(ctx, owner, grant)
+		err := keeper.Granter.Grant(ctx, owner, grant, keeper.Authority.Confirm)
 		keeper.mutex.Lock()
 		defer keeper.mutex.Unlock()
 		assignment.calling = false
@@ -106,6 +112,10 @@
 			keeper.Log.Info("keys granted", "service", keeper.Service, "upstream", assignment.owner.ID, "from", assignment.keys.From,
 				"to", assignment.keys.To, "fence", assignment.fence, "warm", assignment.handover != "", "term", keeper.ledger.Term)
 		}
+		if assignment.failures > 0 && assignment.phase == held {
+			keeper.Log.Info("grant accepted after failures", "service", keeper.Service, "upstream", assignment.owner.ID, "from", assignment.keys.From,
+				"to", assignment.keys.To, "fence", assignment.fence, "failures", assignment.failures, "term", keeper.ledger.Term)
+		}
 		first := assignment.phase == granting
 		assignment.phase, assignment.failures = held, 0
 		assignment.earliestExpiry = sent.Add(time.Duration(float64(ttl) / clockDriftAllowance))
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -30,8 +30,10 @@
 // Granter sends grants and releases to upstreams. A call must fail when another
 // upstream has the owner's address.
 type Granter interface {
-	// Grant grants the keys to the upstream or renews its grant.
-	Grant(ctx context.Context, owner Owner, grant Grant) error
+	// Grant grants the keys to the upstream or renews its grant. It calls confirm after it
+	// has opened a connection and before it sends anything on it, and does not use the
+	// connection if confirm fails. Connections end with the process of the upstream.
+	Grant(ctx context.Context, owner Owner, grant Grant, confirm func(ctx context.Context) error) error
 	// Release revokes the grant of the keys. It returns once the upstream runs no
 	// request for them, with a token that lets the next owner start warm.
 	Release(ctx context.Context, owner Owner, keys Range, fence uint64) (handover string, err error)
@@ -47,6 +49,9 @@
 	// ended once its longest lifetime has passed: no earlier broker can still be
 	// renewing it.
 	MayRelyOnExpiry() bool
+	// Confirm returns nil once it is known that at some time after the call no other process
+	// was the broker.
+	Confirm(ctx context.Context) error
 	// Era returns what the process knows of the era of the store.
 	Era() EraStatus
 }
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -176,6 +176,38 @@
 	})
 }
 
+// Guards against two holders of a key after an upstream has released keys, ended and started
+// again under its ID (review/6): its new process knows no fencing token, and accepts the grants
+// of a broker that was replaced without noticing.
+func TestReplacedBrokerDoesNotReachRestartedUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 1)
+		first := startWithUpstreams(cluster, 5)
+		defer first.stop()
+		first.cutOff.Store(true)
+		first.authority.stopRenewalsAt(time.Now().Add(testStaleRenewals - time.Second))
+		second := cluster.startBroker(2, testStaleRenewals)
+		defer second.stop()
+		time.Sleep(500 * time.Millisecond)
+		cluster.mutex.Lock()
+		leaving := cluster.upstreams["u2:80"]
+		leaving.info.Draining = true
+		cluster.mutex.Unlock()
+		second.setUpstreams(cluster.registered())
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, second.heldFraction(), 1.0)
+		cluster.mutex.Lock()
+		leaving.running = false
+		cluster.mutex.Unlock()
+		second.setUpstreams(cluster.registered())
+		time.Sleep(500 * time.Millisecond)
+		cluster.addUpstream("u2", 2)
+		second.setUpstreams(cluster.registered())
+		time.Sleep(testStaleRenewals)
+		assert.Equal(t, second.heldFraction(), 1.0)
+	})
+}
+
 // No key may have two holders and no fencing token may decrease under any faults: lost
 // answers, grants that take effect seconds later, upstreams that are unreachable,
 // restart or drain, a store that is down, and replaced brokers that go on renewing
@@ -218,7 +250,9 @@
 			startedAt++
 			cluster.addUpstream(upstream.info.ID, startedAt)
 		case 6:
-			// The previous broker does not know that it is replaced.
+			// The previous broker does not know that it is replaced. It may not learn it from
+			// the store either.
+			current.cutOff.Store(hot%2 == 0)
 			current.authority.stopRenewalsAt(time.Now().Add(testStaleRenewals - time.Second))
 			current = cluster.startBroker(uint64(len(brokers)+1), testStaleRenewals)
 			brokers = append(brokers, current)
