cuminstreamd: bound the heads of responses to 64 KiB, as on cuminstream-edge

A report of other operators: a faulty server sent bytes that were no answer, without end, in a head or in a body; the machine that had called it kept them all, ran out of memory and ended, and the requests of other clients with it.

Tests: TestDaemonResponsesWithoutEnd failed before ("174 MB resident" of 144) and passes now; TestResponsesWithoutEnd guards the other daemon.

--- a/internal/standin/flooder/daemon_flood_test.go
+++ b/internal/standin/flooder/daemon_flood_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/cuminstream/cuminstream/internal/standin/flooder"
 	"github.com/cuminstream/cuminstream/internal/standin/upstreamer"
@@ -61,3 +62,14 @@
 	}
 	floodDaemon(t, maxFDs, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, ReceiveBuffer: 4 << 10, Player: unread})
 }
+
+// Guards against a VM that keeps the bytes of a faulty upstream that sends no end of a
+// response. Heads of 256 KiB with a name on each line took 159 to 173 MB.
+func TestDaemonResponsesWithoutEnd(t *testing.T) {
+	for name, player := range endlessCrowds() {
+		t.Run(name, func(t *testing.T) {
+			upstream := flooder.NewUpstream(time.Millisecond, 64)
+			floodStarted(t, startDaemon(t, maxFDs, 64, upstream), maxFDs, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, ReceiveBuffer: 4 << 10, Player: player})
+		})
+	}
+}
--- a/internal/standin/flooder/daemon_harness_test.go
+++ b/internal/standin/flooder/daemon_harness_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
 	"strconv"
@@ -27,8 +28,9 @@
 }
 
 // startDaemon builds and starts the programs, without the race detector, and waits until
-// an ordinary request is served. The process gets its limits from the environment.
-func startDaemon(t *testing.T, maxFDs int) daemon {
+// an ordinary request is served. The process gets its limits from the environment. The
+// upstream is a process of its own, or the handler if that is not nil.
+func startDaemon(t *testing.T, maxFDs, slots int, handler http.Handler) daemon {
 	folder := t.TempDir()
 	for _, program := range []string{"cuminstreamd", "cuminstream", "standin-platform", "standin-upstream"} {
 		output, err := exec.Command("go", "build", "-o", filepath.Join(folder, program), "github.com/cuminstream/cuminstream/cmd/"+program).CombinedOutput()
@@ -40,10 +42,16 @@
 	assert.NilError(t, fleet.StartPlatform(t.Context()))
 	vm, err := launcher.NewVM("vm-a-1", "zone-a")
 	assert.NilError(t, err)
-	upstream := launcher.Upstream{Name: "flood-a-1", Arguments: []string{"--no-checks-grants", "--slots", "4", "--lookup", "20ms"}}
-	upstream.Address, err = launcher.FreeAddress()
-	assert.NilError(t, err)
-	assert.NilError(t, fleet.StartUpstream(t.Context(), upstream))
+	upstream := launcher.Upstream{Name: "flood-a-1", Arguments: []string{"--no-checks-grants", "--slots", strconv.Itoa(slots), "--lookup", "20ms"}}
+	if handler == nil {
+		upstream.Address, err = launcher.FreeAddress()
+		assert.NilError(t, err)
+		assert.NilError(t, fleet.StartUpstream(t.Context(), upstream))
+	} else {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		upstream.Address = server.Listener.Addr().String()
+	}
 	t.Setenv("CUMINSTREAM_MEMORY_MB", strconv.Itoa(memoryMB))
 	t.Setenv("CUMINSTREAM_MAX_FDS", strconv.Itoa(maxFDs))
 	register(t, fleet, vm)
@@ -54,7 +62,7 @@
 	section, err := json.Marshal(map[string]any{"team": "flood", "services": []any{map[string]any{
 		"name": "flood", "pathPrefix": "/flood", "key": configurer.KeySource{PathSegment: 1}, "checksGrants": false,
 		"rank": queuer.Lookup, "idempotent": true, "timeout": routeTimeout.String(),
-		"upstreams": []configurer.Upstream{{Name: upstream.Name, Zone: "zone-a", Address: upstream.Address, Slots: 4, Connections: 20}},
+		"upstreams": []configurer.Upstream{{Name: upstream.Name, Zone: "zone-a", Address: upstream.Address, Slots: slots, Connections: slots + 16}},
 	}}})
 	assert.NilError(t, err)
 	apply := exec.Command(filepath.Join(folder, "cuminstream"), "apply", "flood", "-", "--platform", fleet.Platform)
@@ -108,7 +116,13 @@
 // floodDaemon plays a crowd and checks that the process stays alive and inside its limits,
 // and that an ordinary request is served afterwards.
 func floodDaemon(t *testing.T, maxFDs int, crowd flooder.Crowd) {
-	daemon := startDaemon(t, maxFDs)
+	t.Helper()
+	floodStarted(t, startDaemon(t, maxFDs, 4, nil), maxFDs, crowd)
+}
+
+// floodStarted is floodDaemon for a process that has been started.
+func floodStarted(t *testing.T, daemon daemon, maxFDs int, crowd flooder.Crowd) {
+	t.Helper()
 	crowd.Address = daemon.Address
 	assert.NilError(t, crowd.Run(t.Context(), crowdTime))
 	peak := daemon.Peak()
--- a/internal/standin/flooder/edge.go
+++ b/internal/standin/flooder/edge.go
@@ -80,7 +80,7 @@
 	if output, err := exec.CommandContext(ctx, "go", "build", "-o", program, "github.com/cuminstream/cuminstream/cmd/cuminstream-edge").CombinedOutput(); err != nil {
 		return nil, fmt.Errorf("build cuminstream-edge: %w: %s", err, output)
 	}
-	edge := &Edge{Upstream: &Upstream{ID: "upstream-0", Work: options.Work, Slots: options.Slots}}
+	edge := &Edge{Upstream: NewUpstream(options.Work, options.Slots)}
 	defer func() {
 		if err != nil {
 			err = errors.Join(err, edge.Stop())
--- a/internal/standin/flooder/flooder_test.go
+++ b/internal/standin/flooder/flooder_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,6 +88,25 @@
 	flood(t, fast, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, ReceiveBuffer: 4 << 10, Player: flooder.Unread(16, 200<<10)})
 }
 
+// endlessCrowds are crowds that get responses without end from a faulty server.
+func endlessCrowds() map[string]flooder.Player {
+	heads, bodies := slices.Sorted(maps.Keys(flooder.EndlessHeads())), slices.Sorted(maps.Keys(flooder.EndlessBodies()))
+	return map[string]flooder.Player{
+		"heads": flooder.Endless(true, heads...), "many header names": flooder.Endless(true, flooder.ManyHeaderNames),
+		"bodies, read": flooder.Endless(true, bodies...), "bodies, unread": flooder.Endless(false, bodies...),
+	}
+}
+
+// Guards against a VM that keeps the bytes of a faulty server that sends no end of a response.
+func TestResponsesWithoutEnd(t *testing.T) {
+	fast := flooder.Options{MaxFDs: maxFDs, Work: time.Millisecond, Slots: 64}
+	for name, player := range endlessCrowds() {
+		t.Run(name, func(t *testing.T) {
+			flood(t, fast, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, ReceiveBuffer: 4 << 10, Player: player})
+		})
+	}
+}
+
 // Connections were bounded by a constant, whatever the machine allows.
 func TestConnectionsWithinDescriptors(t *testing.T) {
 	flood(t, flooder.Options{MaxFDs: 500, Work: 50 * time.Millisecond, Slots: 4}, flooder.Crowd{Callers: crowdSize, Addresses: clientCount, Player: flooder.Silent()})
--- a/internal/standin/flooder/players.go
+++ b/internal/standin/flooder/players.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/url"
 	"strings"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -102,6 +104,23 @@
 	}
 }
 
+// Endless sends a request that gets a response without end, of the next of the given forms, and
+// reads it until the connection ends, or nothing of it.
+func Endless(reads bool, forms ...string) Player {
+	var played atomic.Uint64
+	return func(ctx context.Context, conn net.Conn) {
+		form := forms[played.Add(1)%uint64(len(forms))]
+		if _, err := io.WriteString(conn, requestStart("GET", Path+"?endless="+url.QueryEscape(form))+"\r\n"); err != nil {
+			return
+		}
+		if !reads {
+			<-ctx.Done()
+			return
+		}
+		_, _ = io.Copy(io.Discard, conn) // ends with the connection
+	}
+}
+
 // Silent sends the beginning of a head and keeps the connection open.
 func Silent() Player {
 	return func(_ context.Context, conn net.Conn) {
--- a/internal/upstreamer/client.go
+++ b/internal/upstreamer/client.go
@@ -31,8 +31,9 @@
 	// continueTimeout is how long the sending of a large body is delayed for an
 	// upstream that does not respond to Expect: 100-continue.
 	continueTimeout = time.Second
-	maxHeaderBytes  = 256 << 10
-	bufferSize      = 32 << 10
+	// maxHeaderBytes bounds the head of a response. Its parsed form takes several times as much.
+	maxHeaderBytes = 64 << 10
+	bufferSize     = 32 << 10
 	// maxStatus is the largest status that HTTP allows. net/http accepts any three digits.
 	maxStatus = 599
 	// maxBodyWithoutExpect is the size up to which a body is sent without Expect:
