--- a/internal/courier/stop.go
+++ b/internal/courier/stop.go
@@ -106,12 +106,12 @@
 	return left > 0 && exchange.longestRun() > left
 }
 
-// longestRun returns the time that the longest recent run of the route took, or the target
-// of the route if there was none.
+// longestRun returns the time that the longest recent run of the route took. If there was
+// none, it assumes half of the target of the route, which also covers waits.
 func (exchange *exchange) longestRun() time.Duration {
 	longest := exchange.runTimes.largest(exchange.route.Name, exchange.Clock.Now())
 	if longest == 0 {
-		return exchange.route.TargetLatency
+		return exchange.route.TargetLatency / 2
 	}
 	return time.Duration(longest)
 }
