Read the claim at most five times a second while a new connection waits for it

Calls to the store are priced, refused ones too, and a broker whose reads are refused at once read every 50 ms. The majority's acknowledgments come every 400 ms.

--- a/internal/allocator/authority.go
+++ b/internal/allocator/authority.go
@@ -23,7 +23,7 @@
 	verifyTimeout = time.Second
 	// confirmInterval is the time between the reads, and between looks at acknowledgments,
 	// of Confirm.
-	confirmInterval = 50 * time.Millisecond
+	confirmInterval = 200 * time.Millisecond
 	// verificationTTL is how long a confirmed claim remains valid. It is below
 	// staleRenewalWindow, and long enough for a zone that is partitioned for some
 	// seconds to continue to serve.
