--- a/internal/allocator/authority.go
+++ b/internal/allocator/authority.go
@@ -59,7 +59,7 @@
 			return keeper.ErrReplaced
 		}
 		bound, cancel := clocker.WithTimeout(ctx, clock, confirmInterval)
-		if reads > 1 { // the first one may have been in progress before
+		if reads > 1 { // the first may have begun before the call, and the second has failed
 			<-bound.Done()
 		}
 		select {
