Reject responses whose header, trailer or interim response has an invalid field name

Callers saw: a server in trouble sent a head with a line such as "Keep Alive: timeout=5" or "Content-Length : 4". The client got a 200, with the line passed on, or, as such a line frames nothing, with a body that was not the server's ("2\r\nok \r\n0\r\n\r\n" for a chunked "ok").

Hypotheses: all bytes that are no token pass; only spaces do; the framing alone is wrong. Played with 32 lines in four places (head, head without another length, interim response, trailer): names with spaces were taken as a response in every place, in both daemons; names with other control bytes or non-ASCII letters, and values with control bytes, were refused.

Cause: net/http keeps field names with spaces, does not take them for the fields that they resemble, and leaves the check to its caller. Requests were checked, responses nowhere.

Callers get 502 or outcomeUnknown, never "not run"; the upstream counts as failing.

--- /dev/null
+++ b/internal/edger/broken_responses_test.go
@@ -0,0 +1,112 @@
+package edger_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/internal/standin/breaker"
+	"github.com/cuminstream/cuminstream/internal/standin/soaker"
+	"github.com/cuminstream/cuminstream/platform"
+)
+
+// brokenUpstream answers a request for /bookings/N with the broken response number N, the
+// name of which is given.
+type brokenUpstream struct {
+	names []string
+	ran   atomic.Int32
+}
+
+func (upstream *brokenUpstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	number, err := strconv.Atoi(strings.TrimPrefix(request.URL.Path, "/bookings/"))
+	if err != nil {
+		return // a health check
+	}
+	upstream.ran.Add(1)
+	lines := "Cuminstream-Request-Id: " + request.Header.Get("Cuminstream-Request-Id") + "\r\nCuminstream-Response-Seal: seal\r\n"
+	breaker.InvalidFields(lines)[upstream.names[number]].ServeHTTP(writer, request)
+}
+
+// startBrokenUpstream runs a VM with the upstream and returns the VM's address.
+func startBrokenUpstream(t *testing.T, upstream *brokenUpstream) string {
+	store := soaker.NewStore()
+	assert.NilError(t, store.Put("config", "main", map[string]any{
+		"version":  "r1",
+		"routes":   map[string]any{"columns": []string{"name", "host", "path-prefix", "kind", "timeout-s", "target-latency-s", "priority", "max-attempts", "service"}, "rows": [][]any{{"bookings", "fleet.example", "/bookings/", "upload", 4, 4, 0, 1, "bookings"}}},
+		"services": map[string]any{"columns": []string{"name", "health-path", "max-conns", "sharded"}, "rows": [][]any{{"bookings", "/health", 100, false}}},
+		"limits":   map[string]any{"header-bytes": 16384, "body-bytes": 1 << 30, "header-timeout-s": 3, "idle-timeout-s": 15},
+	}))
+	platformServer, upstreamServer := httptest.NewServer(store), httptest.NewServer(upstream)
+	t.Cleanup(platformServer.Close)
+	t.Cleanup(upstreamServer.Close)
+	assert.NilError(t, store.Put(platform.KindUpstreams, "i-0", map[string]any{
+		"addr": upstreamServer.Listener.Addr().String(), "born": 1,
+		"info":   map[string]any{"service": "bookings", "zone": "zone-0", "version": "v1", "max-concurrency": 8},
+		"status": map[string]any{"state": "ready", "sequence": 1, "warmup-left-s": 0},
+	}))
+	ctx, stop := context.WithCancel(context.Background())
+	edge := newEdge(t, 0, strings.TrimPrefix(platformServer.URL, "http://"))
+	edge.FirstStart = false
+	var group errgroup.Group
+	group.Go(func() error { return edge.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		assert.Check(t, group.Wait())
+	})
+	return edge.CallerListen
+}
+
+// sendUntilRun sends requests for a broken response until one has reached the upstream, and
+// returns its status. Others are refused, because the upstream counts as failing.
+func sendUntilRun(t *testing.T, address string, upstream *brokenUpstream, number int) int {
+	for attempt := range 100 {
+		before := upstream.ran.Load()
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(conn, "POST /bookings/%d HTTP/1.1\r\nHost: fleet.example\r\nCuminstream-Deadline-Ms: 2000\r\nCuminstream-Request-Id: %08x%08x\r\nContent-Length: 2\r\n\r\nab", number, number, attempt)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		_ = conn.Close()
+		if upstream.ran.Load() > before {
+			return response.StatusCode
+		}
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("no request has reached the upstream")
+	return 0
+}
+
+// Guards against broken responses that reach callers: requests that were answered with one may
+// have run, and nothing else is known of them.
+func TestBrokenResponsesReachNoCaller(t *testing.T) {
+	t.Parallel()
+	var names []string
+	for _, line := range []string{"Content-Length : 4", "Keep Alive: timeout=5", "X\x01: value"} {
+		for _, place := range []string{"", ", no other length", " in an interim response", " in the trailer"} {
+			names = append(names, fmt.Sprintf("%q%s", line, place))
+		}
+	}
+	upstream := &brokenUpstream{names: names}
+	address := startBrokenUpstream(t, upstream)
+	time.Sleep(5 * time.Second) // until the VM has its configuration
+	for number, name := range names {
+		status := sendUntilRun(t, address, upstream, number)
+		assert.Check(t, status == http.StatusBadGateway, "%s: status %d", name, status)
+	}
+}
--- /dev/null
+++ b/internal/platformer/broken_test.go
@@ -0,0 +1,30 @@
+package platformer_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/internal/platformer"
+	"github.com/cuminstream/cuminstream/internal/standin/breaker"
+	"github.com/cuminstream/cuminstream/pkg/clocker"
+)
+
+// Guards against a broken response that counts as one of the platform: what it says may not
+// be the platform's.
+func TestInvalidFields(t *testing.T) {
+	for name, broken := range breaker.InvalidFields("ETag: \"1\"\r\n") {
+		server := httptest.NewServer(broken)
+		reader, err := platformer.NewClient(server.URL, clocker.System{}, nil)
+		assert.NilError(t, err)
+		_, err = reader.Get(t.Context(), "a")
+		assert.Check(t, err != nil, "%s: read", name)
+		writer, err := platformer.NewClient(server.URL, clocker.System{}, nil)
+		assert.NilError(t, err)
+		_, err = writer.Put(t.Context(), "a", []byte("x"), "")
+		assert.Check(t, err != nil, "%s: written", name)
+		server.CloseClientConnections()
+		server.Close()
+	}
+}
--- a/internal/platformer/client.go
+++ b/internal/platformer/client.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/cuminstream/cuminstream/internal/verifier"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
@@ -71,7 +72,7 @@
 		baseURL: strings.TrimRight(baseURL, "/"),
 		clock:   clock,
 		http: &http.Client{
-			Transport:     transport,
+			Transport:     &verifier.Transport{Base: transport},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		Timeout: defaultTimeout,
--- a/internal/sender/round_trip.go
+++ b/internal/sender/round_trip.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/cuminstream/cuminstream/internal/limiter"
+	"github.com/cuminstream/cuminstream/internal/verifier"
 )
 
 // roundTrip writes the request and reads its response. reusable reports that the
@@ -68,6 +69,9 @@
 		if err != nil {
 			return nil, true, fmt.Errorf("read the response: %w", err)
 		}
+		if err := verifier.Response(message); err != nil {
+			return nil, true, err
+		}
 		if message.StatusCode < http.StatusContinue || message.StatusCode > maxStatus {
 			return nil, true, fmt.Errorf("invalid status %q", message.Status)
 		}
--- a/internal/upstreamer/client.go
+++ b/internal/upstreamer/client.go
@@ -15,6 +15,7 @@
 	"github.com/cuminstream/cuminstream/internal/carrier"
 	"github.com/cuminstream/cuminstream/internal/configurer"
 	"github.com/cuminstream/cuminstream/internal/dispatcher"
+	"github.com/cuminstream/cuminstream/internal/verifier"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
@@ -54,7 +55,7 @@
 
 // upstreamTransports holds the connection pools of one upstream.
 type upstreamTransports struct {
-	requests, control *http.Transport
+	requests, control *verifier.Transport
 	connections       int
 }
 
@@ -110,8 +111,8 @@
 
 // newTransport returns a transport that opens at most the given number of connections
 // and counts the bytes written to each.
-func (client *Client) newTransport(connections int) *http.Transport {
-	return &http.Transport{
+func (client *Client) newTransport(connections int) *verifier.Transport {
+	return &verifier.Transport{Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := client.Dial(ctx, network, address)
 			if err != nil {
@@ -127,7 +128,7 @@
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
 		DisableCompression:     true,
-	}
+	}}
 }
 
 // Send implements dispatcher.UpstreamClient.
--- a/internal/upstreamer/connection.go
+++ b/internal/upstreamer/connection.go
@@ -17,7 +17,7 @@
 // stream, after a write has taken the error from the kernel.
 var errReset = errors.New("the connection was reset")
 
-// countingConn counts the bytes that are passed to the kernel. After closeAndCount it
+// countingConn counts the bytes that are passed to the kernel. After Close it
 // accepts no more, so that the count is final.
 type countingConn struct {
 	net.Conn
@@ -54,15 +54,18 @@
 	return conn.written
 }
 
-// closeAndCount blocks further writes, closes the connection and returns the final
-// count.
-func (conn *countingConn) closeAndCount() int64 {
+// Close blocks further writes and closes the connection.
+func (conn *countingConn) Close() error {
 	conn.mutex.Lock()
 	conn.closed = true
-	written := conn.written
 	conn.mutex.Unlock()
+	return conn.Conn.Close()
+}
+
+// closeAndCount closes the connection and returns the final count.
+func (conn *countingConn) closeAndCount() int64 {
 	_ = conn.Close()
-	return written
+	return conn.writtenBytes()
 }
 
 // attempt records the connection that a request is written to.
--- /dev/null
+++ b/internal/verifier/transport.go
@@ -0,0 +1,68 @@
+package verifier
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.RoundTripper that fails on responses with an invalid field name in
+// their header, their trailer or an interim response before them, and closes their
+// connections. It is safe for concurrent use.
+type Transport struct {
+	// Base sends the requests.
+	Base http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	interim := &interimChecker{}
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: interim.check,
+	})
+	response, err := transport.Base.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := Response(response); err != nil {
+		closeConnection(conn)
+		_ = response.Body.Close()
+		return nil, err
+	}
+	response.Body = &closingBody{ReadCloser: response.Body, conn: conn}
+	return response, nil
+}
+
+// CloseIdleConnections closes the idle connections of Base.
+func (transport *Transport) CloseIdleConnections() {
+	if closer, ok := transport.Base.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
+
+// closingBody closes the connection of a response with an invalid trailer.
+type closingBody struct {
+	io.ReadCloser
+	conn net.Conn
+}
+
+func (body *closingBody) Read(buffer []byte) (int, error) {
+	count, err := body.ReadCloser.Read(buffer)
+	if errors.Is(err, ErrFieldName) {
+		// net/http has put the connection into its pool. A request that has got it
+		// meanwhile fails.
+		closeConnection(body.conn)
+	}
+	return count, err
+}
+
+// closeConnection closes the connection. It is nil if Base is no *http.Transport.
+func closeConnection(conn net.Conn) {
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
