Reject invalid header lines in messages between VMs

A VM that gets a response over a link passed its header and trailer on as they were.

Cause: the decoder of a header block looked for a line end and a colon only.

Change: headerBlock.header() refuses names that are no tokens and values with control bytes. The link is closed; the request ends as outcomeUnknown, or the body as cut.

Evidence: on the code before, linker.TestInvalidFieldsOfAPeer ("Keep Alive: timeout=5" and 29 other lines: no error) and TestInvalidTrailerOfAPeer (30 of 32 lines: no error) fail. Both pass now, as do the other tests of the package with the race detector.

--- /dev/null
+++ b/internal/linker/broken_test.go
@@ -0,0 +1,51 @@
+package linker
+
+import (
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cuminstream/cuminstream/internal/carrier"
+	"github.com/cuminstream/cuminstream/internal/standin/breaker"
+	"github.com/cuminstream/cuminstream/pkg/answerer"
+)
+
+// brokenHead returns the error of a request that a peer answers with the head.
+func brokenHead(t *testing.T, head responseHead) error {
+	pool := newScriptedServer(t, func(link *connection) {
+		_, _ = link.read()
+		_ = link.write(encodeMessage(t, frame{Kind: kindResponseHead, Sequence: 1, Request: 1, Last: true}, head))
+		_, _ = link.read() // until the client closes the link
+	})
+	_, err := pool.Forward(t.Context(), "b", &carrier.Request{Method: "POST"})
+	return err
+}
+
+// Guards against an invalid header line that a VM passes on, for example because its program
+// is of a version that did not check the upstream's response.
+func TestInvalidFieldsOfAPeer(t *testing.T) {
+	for _, line := range breaker.InvalidLines() {
+		for _, head := range []responseHead{{Status: 200, Header: headerBlock(line + "\n")}, {Status: 200, Trailer: headerBlock(line + "\n")}} {
+			err := brokenHead(t, head)
+			assert.Check(t, answerer.From(err).Kind == answerer.OutcomeUnknown, "%q: %v", line, err)
+		}
+	}
+}
+
+// Guards against the same in the trailer after a body: the caller has got the body, and must
+// not take it for all of the response.
+func TestInvalidTrailerOfAPeer(t *testing.T) {
+	for _, line := range breaker.InvalidLines() {
+		pool := newScriptedServer(t, func(link *connection) {
+			_, _ = link.read()
+			_ = link.write(encodeMessage(t, frame{Kind: kindResponseHead, Sequence: 1, Request: 1}, responseHead{Status: 200, ContentLength: -1}))
+			_ = link.write(encodeMessage(t, frame{Kind: kindResponseEnd, Sequence: 2, Request: 1}, bodyEnd{Trailer: headerBlock(line + "\n")}))
+			_, _ = link.read()
+		})
+		response, err := pool.Forward(t.Context(), "b", &carrier.Request{Method: "POST"})
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.Check(t, answerer.From(err).Kind == answerer.CutBody, "%q: %v", line, err)
+	}
+}
--- a/internal/linker/header.go
+++ b/internal/linker/header.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // headerBlock is an encoded http.Header: one line "name:value" for each value, as
@@ -37,7 +39,8 @@
 	return buffer.Bytes()[start:]
 }
 
-// header decodes the block. It returns nil only with an error.
+// header decodes the block. It returns nil only with an error. It does not rely on the sender
+// for valid names and values: net/http, from which they come, checks them only in part.
 func (block headerBlock) header() (http.Header, error) {
 	lines := bytes.Count(block, []byte{'\n'})
 	if lines > maxHeaderLines {
@@ -48,7 +51,7 @@
 	for text := string(block); text != ""; {
 		line, rest, ended := strings.Cut(text, "\n")
 		name, value, found := strings.Cut(line, ":")
-		if !ended || !found || name == "" {
+		if !ended || !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
 			return nil, fmt.Errorf("%w: malformed header line", errProtocol)
 		}
 		text = rest
