Check the status wherever a response is read

Callers saw: on other systems, an answer with status 000 counted as an answer. Here, requests that cuminstream-edge or cuminstreamd sends to an upstream already ended as broken with it (sender.TestInvalidStatus, upstreamer.TestInvalidStatus; in edger.TestBrokenResponsesReachNoCaller the caller gets 502, also on the code before). Three other readers did not check it: - cuminstreamd kept the connection of a response with status 600 or 999 and no body for the next request; - in cuminstreamd, a reply to a probe counted with any status, and with it what its body says of the upstream; - a status from another VM was passed on as it was; net/http panics when it writes one below 100.

Cause: the check stood in two senders, after net/http had decided on the connection, and not in what all readers share.

Change: verifier.Response checks the status as well, so that verifier.Transport closes the connection; the checks of the two senders go. A link to another VM is closed for a status outside 200 to 599.

Evidence: on the code before, upstreamer.TestInvalidStatuses ("600" without a body: a connection was reused), TestBrokenReplies ("000": the probe was answered; 14 forms) and linker.TestInvalidStatusOfAPeer (9 of 9: no error) fail; all pass now with the race detector, as do the older tests of the status.

--- a/internal/edger/broken_responses_test.go
+++ b/internal/edger/broken_responses_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -36,7 +37,9 @@
 	}
 	upstream.ran.Add(1)
 	lines := "Cuminstream-Request-Id: " + request.Header.Get("Cuminstream-Request-Id") + "\r\nCuminstream-Response-Seal: seal\r\n"
-	breaker.InvalidFields(lines)[upstream.names[number]].ServeHTTP(writer, request)
+	responses := breaker.InvalidFields(lines)
+	maps.Copy(responses, breaker.InvalidStatuses(lines))
+	responses[upstream.names[number]].ServeHTTP(writer, request)
 }
 
 // startBrokenUpstream runs a VM with the upstream and returns the VM's address.
@@ -96,7 +99,7 @@
 // have run, and nothing else is known of them.
 func TestBrokenResponsesReachNoCaller(t *testing.T) {
 	t.Parallel()
-	var names []string
+	names := []string{`"000"`, `"600"`}
 	for _, line := range []string{"Content-Length : 4", "Keep Alive: timeout=5", "X\x01: value"} {
 		for _, place := range []string{"", ", no other length", " in an interim response", " in the trailer"} {
 			names = append(names, fmt.Sprintf("%q%s", line, place))
--- a/internal/linker/broken_test.go
+++ b/internal/linker/broken_test.go
@@ -49,3 +49,12 @@
 		assert.Check(t, answerer.From(err).Kind == answerer.CutBody, "%q: %v", line, err)
 	}
 }
+
+// Guards against a status that is none and that a VM passes on. net/http panics when it
+// writes one below 100.
+func TestInvalidStatusOfAPeer(t *testing.T) {
+	for _, status := range []int{0, 1, 99, 100, 101, 199, 600, 999, -200} {
+		err := brokenHead(t, responseHead{Status: status})
+		assert.Check(t, answerer.From(err).Kind == answerer.OutcomeUnknown, "status %d: %v", status, err)
+	}
+}
--- a/internal/linker/client_exchange.go
+++ b/internal/linker/client_exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cuminstream/cuminstream/internal/carrier"
+	"github.com/cuminstream/cuminstream/internal/verifier"
 	"github.com/cuminstream/cuminstream/pkg/answerer"
 )
 
@@ -252,6 +254,9 @@
 }
 
 func (exchange *clientExchange) startResponse(frame frame, head responseHead, data []byte, buffer *bytes.Buffer) error {
+	if err := verifier.Status(head.Status); err != nil || head.Status < http.StatusOK {
+		return fmt.Errorf("%w: status %d of a response", errProtocol, head.Status)
+	}
 	header, err := head.Header.header()
 	if err != nil {
 		return err
--- a/internal/sender/round_trip.go
+++ b/internal/sender/round_trip.go
@@ -72,9 +72,6 @@
 		if err := verifier.Response(message); err != nil {
 			return nil, true, err
 		}
-		if message.StatusCode < http.StatusContinue || message.StatusCode > maxStatus {
-			return nil, true, fmt.Errorf("invalid status %q", message.Status)
-		}
 		if message.StatusCode < http.StatusOK {
 			if message.StatusCode == http.StatusSwitchingProtocols {
 				return nil, true, errors.New("unexpected response 101 Switching Protocols")
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -135,8 +135,6 @@
 	// idleTimeoutShare is the share of the upstream's Keep-Alive timeout for which a
 	// connection is reused, so that few requests hit a connection that is closing.
 	idleTimeoutShare = 0.6
-	// maxStatus is the largest status that HTTP allows.
-	maxStatus = 599
 	// readBufferSize fits a usual response in one read.
 	readBufferSize = 8 << 10
 )
--- a/internal/upstreamer/broken_test.go
+++ b/internal/upstreamer/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -46,10 +47,37 @@
 	}
 }
 
+// Guards against a status that is none, and against the reuse of the connection of a response
+// that has one.
+func TestInvalidStatuses(t *testing.T) {
+	for name, broken := range breaker.InvalidStatuses("Cuminstream-Refusal: shed\r\n") {
+		var mutex sync.Mutex
+		connections := map[net.Conn]int{}
+		upstream := startRawServer(t, func(_ *http.Request, conn net.Conn) bool {
+			mutex.Lock()
+			connections[conn]++
+			mutex.Unlock()
+			_, _ = io.WriteString(conn, broken.Text)
+			return true
+		})
+		client := newClient(t)
+		for range 2 {
+			_, err := client.Send(t.Context(), upstream, request(http.MethodGet), 1)
+			var notStarted *dispatcher.NotStartedError
+			assert.Check(t, err != nil && !errors.As(err, &notStarted), "%s: %v", name, err)
+		}
+		mutex.Lock()
+		assert.Check(t, len(connections) == 2, "%s: a connection was reused", name)
+		mutex.Unlock()
+	}
+}
+
 // Guards against a broken reply to a grant or a probe that counts as a reply: what it says
 // may not be the upstream's.
-func TestInvalidFieldsInReplies(t *testing.T) {
-	for name, broken := range breaker.InvalidFields("Content-Type: application/json\r\n") {
+func TestBrokenReplies(t *testing.T) {
+	forms := breaker.InvalidFields("Content-Type: application/json\r\n")
+	maps.Copy(forms, breaker.InvalidStatuses(""))
+	for name, broken := range forms {
 		upstream := startRawServer(t, func(_ *http.Request, conn net.Conn) bool {
 			_, _ = io.WriteString(conn, broken.Text)
 			return !broken.Closes
--- a/internal/upstreamer/client.go
+++ b/internal/upstreamer/client.go
@@ -35,8 +35,6 @@
 	// maxHeaderBytes bounds the head of a response. Its parsed form takes several times as much.
 	maxHeaderBytes = 64 << 10
 	bufferSize     = 32 << 10
-	// maxStatus is the largest status that HTTP allows. net/http accepts any three digits.
-	maxStatus = 599
 	// maxBodyWithoutExpect is the size up to which a body is sent without Expect:
 	// 100-continue.
 	maxBodyWithoutExpect = 64 << 10
@@ -161,11 +159,6 @@
 		_ = response.Body.Close()
 		return nil, fmt.Errorf("upstream %s changed the protocol without being asked", upstream.Name)
 	}
-	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
-		_ = response.Body.Close()
-		_ = outgoing.Body.Close()
-		return nil, fmt.Errorf("upstream %s responded with the invalid status %q", upstream.Name, response.Status)
-	}
 	return newResponse(upstream, response), nil
 }
 
--- a/internal/upstreamer/control.go
+++ b/internal/upstreamer/control.go
@@ -79,7 +79,7 @@
 	return reply, fmt.Errorf("upstream %s responded to a grant with status %s", upstream.Name, response.Status)
 }
 
-// Probe implements dispatcher.UpstreamClient. A response with any status counts as a
+// Probe implements dispatcher.UpstreamClient. A response with any HTTP status counts as a
 // reply, because the status of a health endpoint is not reliable.
 func (client *Client) Probe(ctx context.Context, upstream configurer.Upstream) (dispatcher.ControlReply, error) {
 	_, reply, err := client.sendControl(ctx, upstream, http.MethodGet, "/cuminstream/health", nil)
--- a/internal/verifier/response.go
+++ b/internal/verifier/response.go
@@ -5,9 +5,12 @@
 	"net/http"
 )
 
-// Response returns an error if a field name in the head of the response is invalid. Otherwise
-// it makes the body fail at its end if one in the trailer is.
+// Response returns an error if the status or a field name in the head of the response is
+// invalid. Otherwise it makes the body fail at its end if a field name in the trailer is.
 func Response(response *http.Response) error {
+	if err := Status(response.StatusCode); err != nil {
+		return err
+	}
 	if err := FieldNames(response.Header); err != nil {
 		return err
 	}
--- a/internal/verifier/transport.go
+++ b/internal/verifier/transport.go
@@ -8,9 +8,9 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.RoundTripper that fails on responses with an invalid field name in
-// their header, their trailer or an interim response before them, and closes their
-// connections. It is safe for concurrent use.
+// Transport is an http.RoundTripper that fails on responses with an invalid status, or an
+// invalid field name in their header, their trailer or an interim response before them, and
+// closes their connections. It is safe for concurrent use.
 type Transport struct {
 	// Base sends the requests.
 	Base http.RoundTripper
