Take no reset for the end of a response, whatever the connection is

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The part counted as the whole.

Hypotheses: (1) the check of the kernel's state (peeker.EndedByReset) has a gap in time; (2) it does not see some connections; (3) some readers do not make it. Played with reads that come 20 ms late, 8 tries each: on TCP sockets 0 of 8, also with 300 KiB, so not (1). On connections that wrap a socket 8 of 8 in cuminstream-edge: the check needs the socket, and said "not reset" without it (2). The clients of the platform's store and of grants and releases did not make it at all (3); on plain sockets, 34 to 39 of 60 writes of 1 MB to the platform counted as done.

Cause: the kernel reports a reset to one call only. If that is a write, the next read finds an ordinary end. Who wrote was not asked.

Change: verifier.Conn knows whether a write has failed. At the end of the stream it ends a write in progress, waits for it and reports a reset if any has failed; the kernel's state is asked as before. Requests of both daemons, grants, releases, both clients of the platform's store and the program cuminstream use it.

--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
@@ -23,7 +22,7 @@
 
 // api returns a client of the platform's object API.
 func (flags platformFlags) api() (platformer.API, error) {
-	client, err := platformer.NewClient(flags.Platform, clocker.System{}, http.DefaultTransport)
+	client, err := platformer.NewClient(flags.Platform, clocker.System{}, platformer.NewTransport())
 	if err != nil {
 		return nil, newExitError(exitInvalid, "--platform: %w", err)
 	}
--- a/internal/edger/broken_responses_test.go
+++ b/internal/edger/broken_responses_test.go
@@ -23,6 +23,9 @@
 	"github.com/cuminstream/cuminstream/platform"
 )
 
+// resetName is the name of a response that the upstream resets while it gets an upload.
+const resetName = "reset"
+
 // brokenUpstream answers a request for /bookings/N with the broken response number N, the
 // name of which is given.
 type brokenUpstream struct {
@@ -37,19 +40,26 @@
 	}
 	upstream.ran.Add(1)
 	lines := "Cuminstream-Request-Id: " + request.Header.Get("Cuminstream-Request-Id") + "\r\nCuminstream-Response-Seal: seal\r\n"
+	if upstream.names[number] == resetName {
+		if conn, upload, err := http.NewResponseController(writer).Hijack(); err == nil {
+			breaker.ResetDuringUpload(conn, upload, "HTTP/1.1 200 OK\r\n"+lines+"\r\npart")
+		}
+		return
+	}
 	responses := breaker.InvalidFields(lines)
 	maps.Copy(responses, breaker.InvalidStatuses(lines))
 	responses[upstream.names[number]].ServeHTTP(writer, request)
 }
 
-// startBrokenUpstream runs a VM with the upstream and returns the VM's address.
-func startBrokenUpstream(t *testing.T, upstream *brokenUpstream) string {
+// startBrokenUpstream runs a VM with the upstream and returns the VM's address. The VM's
+// connections have the delays.
+func startBrokenUpstream(t *testing.T, upstream *brokenUpstream, delays breaker.LateConn) string {
 	store := soaker.NewStore()
 	assert.NilError(t, store.Put("config", "main", map[string]any{
 		"version":  "r1",
 		"routes":   map[string]any{"columns": []string{"name", "host", "path-prefix", "kind", "timeout-s", "target-latency-s", "priority", "max-attempts", "service"}, "rows": [][]any{{"bookings", "fleet.example", "/bookings/", "upload", 4, 4, 0, 1, "bookings"}}},
 		"services": map[string]any{"columns": []string{"name", "health-path", "max-conns", "sharded"}, "rows": [][]any{{"bookings", "/health", 100, false}}},
-		"limits":   map[string]any{"header-bytes": 16384, "body-bytes": 1 << 30, "header-timeout-s": 3, "idle-timeout-s": 15},
+		"limits":   map[string]any{"header-bytes": 16384, "body-bytes": 64 << 20, "header-timeout-s": 3, "idle-timeout-s": 15},
 	}))
 	platformServer, upstreamServer := httptest.NewServer(store), httptest.NewServer(upstream)
 	t.Cleanup(platformServer.Close)
@@ -61,7 +71,7 @@
 	}))
 	ctx, stop := context.WithCancel(context.Background())
 	edge := newEdge(t, 0, strings.TrimPrefix(platformServer.URL, "http://"))
-	edge.FirstStart = false
+	edge.FirstStart, edge.Dial = false, delays.WrapDial(edge.Dial)
 	var group errgroup.Group
 	group.Go(func() error { return edge.Run(ctx) })
 	t.Cleanup(func() {
@@ -73,18 +83,24 @@
 
 // sendUntilRun sends requests for a broken response until one has reached the upstream, and
 // returns its status. Others are refused, because the upstream counts as failing.
-func sendUntilRun(t *testing.T, address string, upstream *brokenUpstream, number int) int {
+func sendUntilRun(t *testing.T, address string, upstream *brokenUpstream, number int, body []byte) int {
 	for attempt := range 100 {
 		before := upstream.ran.Load()
 		conn, err := net.Dial("tcp", address)
 		assert.NilError(t, err)
-		_, err = fmt.Fprintf(conn, "POST /bookings/%d HTTP/1.1\r\nHost: fleet.example\r\nCuminstream-Deadline-Ms: 2000\r\nCuminstream-Request-Id: %08x%08x\r\nContent-Length: 2\r\n\r\nab", number, number, attempt)
+		_, err = fmt.Fprintf(conn, "POST /bookings/%d HTTP/1.1\r\nHost: fleet.example\r\nCuminstream-Deadline-Ms: 2000\r\nCuminstream-Request-Id: %08x%08x\r\nContent-Length: %d\r\n\r\n", number, number, attempt, len(body))
 		assert.NilError(t, err)
+		var upload errgroup.Group
+		upload.Go(func() error {
+			_, _ = conn.Write(body) // the VM may answer before it has read all
+			return nil
+		})
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		assert.NilError(t, err)
 		_, err = io.ReadAll(response.Body)
 		assert.NilError(t, err)
 		_ = conn.Close()
+		_ = upload.Wait()
 		if upstream.ran.Load() > before {
 			return response.StatusCode
 		}
@@ -106,10 +122,24 @@
 		}
 	}
 	upstream := &brokenUpstream{names: names}
-	address := startBrokenUpstream(t, upstream)
+	address := startBrokenUpstream(t, upstream, breaker.LateConn{})
 	time.Sleep(5 * time.Second) // until the VM has its configuration
 	for number, name := range names {
-		status := sendUntilRun(t, address, upstream, number)
+		status := sendUntilRun(t, address, upstream, number, []byte("ab"))
 		assert.Check(t, status == http.StatusBadGateway, "%s: status %d", name, status)
 	}
 }
+
+// Guards against a part of a response that reaches a caller as the whole: the upstream answers
+// an upload early, without a length, and resets the connection. The VM gets little processor
+// time.
+func TestResetOfAnEarlyResponseReachesNoCaller(t *testing.T) {
+	t.Parallel()
+	upstream := &brokenUpstream{names: []string{resetName}}
+	address := startBrokenUpstream(t, upstream, breaker.LateConn{ReadDelay: 20 * time.Millisecond})
+	time.Sleep(5 * time.Second) // until the VM has its configuration
+	for range 3 {
+		status := sendUntilRun(t, address, upstream, 0, make([]byte, 64<<20))
+		assert.Check(t, status == http.StatusBadGateway, "status %d", status)
+	}
+}
--- a/internal/platformer/broken_test.go
+++ b/internal/platformer/broken_test.go
@@ -1,6 +1,7 @@
 package platformer_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -28,3 +29,20 @@
 		server.Close()
 	}
 }
+
+// Guards against a part of a response without a length that counts as the whole, because the
+// write of the value has taken the reset from the kernel.
+func TestResetDuringPut(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		conn, buffered, err := http.NewResponseController(writer).Hijack()
+		assert.Check(t, err)
+		breaker.ResetDuringUpload(conn, buffered, "HTTP/1.1 200 OK\r\nETag: \"1\"\r\n\r\npart")
+	}))
+	defer server.Close()
+	client, err := platformer.NewClient(server.URL, clocker.System{}, nil)
+	assert.NilError(t, err)
+	for range 60 {
+		_, err := client.Put(t.Context(), "a", make([]byte, platformer.MaxValueSize), "")
+		assert.Check(t, err != nil, "written")
+	}
+}
--- a/internal/platformer/client.go
+++ b/internal/platformer/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -58,6 +59,14 @@
 
 var _ API = (*Client)(nil)
 
+// NewTransport returns a copy of http.DefaultTransport whose connections do not take a reset for
+// the end of a response.
+func NewTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = verifier.WrapDial(transport.DialContext)
+	return transport
+}
+
 // NewClient returns a client of the platform at the base URL, such as
 // http://10.0.0.5:7000. If transport is nil, a default transport is used.
 func NewClient(baseURL string, clock clocker.Clock, transport http.RoundTripper) (*Client, error) {
@@ -66,7 +75,10 @@
 		return nil, fmt.Errorf("platform URL %q is not of the form http://host:port", baseURL)
 	}
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout}
+		transport = &http.Transport{
+			DialContext:  verifier.WrapDial((&net.Dialer{}).DialContext),
+			MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout,
+		}
 	}
 	return &Client{
 		baseURL: strings.TrimRight(baseURL, "/"),
--- a/internal/sender/errors.go
+++ b/internal/sender/errors.go
@@ -6,10 +6,6 @@
 // connection names no request: it may be a late second response to an earlier one.
 var errNoRequestID = errors.New("a response on a reused connection does not name its request")
 
-// errReset is the cause of an incomplete response if the connection ended without the end of
-// the upstream's stream, and a write has taken the error from the kernel.
-var errReset = errors.New("the connection was reset")
-
 // errCallerLeft is the cause of a request that was not sent because its caller left.
 var errCallerLeft = errors.New("the caller has left")
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -17,6 +17,7 @@
 
 	"github.com/cuminstream/cuminstream/internal/limiter"
 	"github.com/cuminstream/cuminstream/internal/peeker"
+	"github.com/cuminstream/cuminstream/internal/verifier"
 	"github.com/cuminstream/cuminstream/pkg/clocker"
 )
 
@@ -155,7 +156,7 @@
 }
 
 type connection struct {
-	net.Conn
+	*verifier.Conn
 	upstream    Upstream
 	limited     *limiter.Reader
 	reader      *bufio.Reader
@@ -166,16 +167,6 @@
 	written atomic.Int64
 }
 
-// Read reads from the upstream. It reports io.EOF only if the upstream has ended its stream,
-// because a response without a length is complete then.
-func (conn *connection) Read(buffer []byte) (int, error) {
-	count, err := conn.Conn.Read(buffer)
-	if err == io.EOF && peeker.EndedByReset(conn.Conn) {
-		err = errReset
-	}
-	return count, err
-}
-
 // Write writes to the upstream and counts the accepted bytes.
 func (conn *connection) Write(data []byte) (int, error) {
 	count, err := conn.Conn.Write(data)
@@ -265,7 +256,7 @@
 			break
 		}
 		// Bytes that arrive on an idle connection belong to no request.
-		if state := peeker.Peek(conn.Conn); now.Sub(conn.lastUsed) < conn.idleTimeout && (state == peeker.Quiet || state == peeker.Unknown) {
+		if state := peeker.Peek(conn.NetConn()); now.Sub(conn.lastUsed) < conn.idleTimeout && (state == peeker.Quiet || state == peeker.Unknown) {
 			conn.reused = true
 			return conn, nil
 		}
@@ -277,7 +268,7 @@
 	if err != nil {
 		return nil, err
 	}
-	created := &connection{Conn: conn, upstream: upstream, idleTimeout: defaultIdleTimeout}
+	created := &connection{Conn: verifier.NewConn(conn), upstream: upstream, idleTimeout: defaultIdleTimeout}
 	created.limited = &limiter.Reader{Source: created, Remaining: limiter.Unlimited}
 	created.reader = bufio.NewReaderSize(created.limited, readBufferSize)
 	return created, nil
--- a/internal/sender/write.go
+++ b/internal/sender/write.go
@@ -52,7 +52,7 @@
 	}
 	// A large body is not copied. Only a net.TCPConn itself writes both with one call, so
 	// the bytes are counted here.
-	count, err := (&net.Buffers{buffer.Bytes(), request.Body}).WriteTo(conn.Conn)
+	count, err := (&net.Buffers{buffer.Bytes(), request.Body}).WriteTo(conn.NetConn())
 	conn.written.Add(count)
 	return err
 }
--- a/internal/starter/providers.go
+++ b/internal/starter/providers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -57,7 +56,7 @@
 }
 
 func newPlatform(settings Settings, clock clocker.Clock) (platformer.API, error) {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport := platformer.NewTransport()
 	transport.Proxy = nil
 	return platformer.NewClient(settings.Platform, clock, transport)
 }
--- a/internal/upstreamer/broken_test.go
+++ b/internal/upstreamer/broken_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
@@ -89,3 +91,53 @@
 		assert.Check(t, err != nil, "%s: the probe was answered", name)
 	}
 }
+
+// Guards against a part of a response without a length that counts as the whole, because a
+// write of the upload has taken the reset from the kernel, or is taking it.
+func TestResetOfAnEarlyResponse(t *testing.T) {
+	for name, delays := range breaker.Delays() {
+		for _, size := range []int{4, 300 << 10} {
+			for range 8 {
+				_, err := sendLongUpload(t, delays, func(conn net.Conn, upload io.Reader) {
+					breaker.ResetDuringUpload(conn, upload, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", size))
+				})
+				assert.Check(t, err != nil, "%s: %d bytes look like a complete response", name, size)
+			}
+		}
+	}
+}
+
+// Guards against the rejection of an early response that is complete: one with a length, and
+// one without whose connection was closed in order.
+func TestCompleteEarlyResponse(t *testing.T) {
+	for name, delays := range breaker.Delays() {
+		for _, size := range []int{4, 300 << 10} {
+			for _, length := range []string{"", fmt.Sprintf("Content-Length: %d\r\n", size)} {
+				body, err := sendLongUpload(t, delays, func(conn net.Conn, upload io.Reader) {
+					breaker.CloseDuringUpload(conn, upload, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"+length+"\r\n"+strings.Repeat("x", size))
+				})
+				assert.Check(t, err, "%s, %q", name, length)
+				assert.Check(t, len(body) == size, "%s, %q: %d of %d bytes", name, length, len(body), size)
+			}
+		}
+	}
+}
+
+// sendLongUpload sends an upload without end over a connection with the delays, and returns the
+// body of the response.
+func sendLongUpload(t *testing.T, delays breaker.LateConn, script func(conn net.Conn, upload io.Reader)) ([]byte, error) {
+	upstream := startRawServer(t, func(request *http.Request, conn net.Conn) bool {
+		script(conn, request.Body)
+		return false
+	})
+	client := newClient(t)
+	client.Dial = delays.WrapDial(client.Dial)
+	upload := request(http.MethodPut)
+	upload.Body, upload.ContentLength = endless{}, 1<<40
+	response, err := client.Send(t.Context(), upstream, upload, 1)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	return io.ReadAll(response.Body)
+}
--- a/internal/upstreamer/client.go
+++ b/internal/upstreamer/client.go
@@ -116,7 +116,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return &countingConn{Conn: verifier.NewConn(conn)}, nil
 		},
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
--- a/internal/upstreamer/connection.go
+++ b/internal/upstreamer/connection.go
@@ -2,21 +2,14 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"sync"
-
-	"github.com/cuminstream/cuminstream/internal/peeker"
 )
 
 // errAttemptEnded is returned by reads of a request body and writes to a
 // connection after the attempt has ended.
 var errAttemptEnded = errors.New("the attempt has ended")
 
-// errReset is returned by reads from a connection that ended without the end of the upstream's
-// stream, after a write has taken the error from the kernel.
-var errReset = errors.New("the connection was reset")
-
 // countingConn counts the bytes that are passed to the kernel. After Close it
 // accepts no more, so that the count is final.
 type countingConn struct {
@@ -38,16 +31,6 @@
 	return conn.Conn.Write(data)
 }
 
-// Read reports io.EOF only if the upstream has ended its stream, because a response without
-// a length is complete then.
-func (conn *countingConn) Read(buffer []byte) (int, error) {
-	count, err := conn.Conn.Read(buffer)
-	if err == io.EOF && peeker.EndedByReset(conn.Conn) {
-		err = errReset
-	}
-	return count, err
-}
-
 func (conn *countingConn) writtenBytes() int64 {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
