Send no invalid names of a request's trailer to another VM

Callers saw: nothing yet. With the check of header lines in messages between VMs, a request whose trailer has a name such as "X Y" besides the announced ones ended as outcomeUnknown, where it was served before.

Cause: net/http checks the names in the head of a request to a server and adds those of its trailer without a check. Upstreams get the announced ones only; the link carried all.

Change: the VM that sends the request leaves invalid names out.

Evidence: linker.TestInvalidTrailerOfARequest fails on the code before ("outcomeUnknown: VM "b": the link ended before the answer") and passes now.

--- a/internal/linker/broken_test.go
+++ b/internal/linker/broken_test.go
@@ -1,7 +1,10 @@
 package linker
 
 import (
+	"context"
 	"io"
+	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -58,3 +61,26 @@
 		assert.Check(t, answerer.From(err).Kind == answerer.OutcomeUnknown, "status %d: %v", status, err)
 	}
 }
+
+// Guards against a link that ends because of a request's trailer: net/http adds names that the
+// request has not announced without a check.
+func TestInvalidTrailerOfARequest(t *testing.T) {
+	received := make(chan http.Header, 2)
+	pool := &Pool{VM: "a", SharedKey: sharedKey, Directory: fixedAddress(startServer(t, &Server{Handler: trailerRecorder(received)}))}
+	for _, length := range []int64{4, -1} {
+		request := &carrier.Request{Method: "POST", ContentLength: length, Body: strings.NewReader("body"), Trailer: http.Header{"X": {"1"}, "X Y": {"2"}}}
+		response, err := pool.Forward(t.Context(), "b", request)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.DeepEqual(t, <-received, http.Header{"X": {"1"}})
+	}
+}
+
+// trailerRecorder is a handler that records the trailers of requests.
+type trailerRecorder chan http.Header
+
+func (recorder trailerRecorder) Handle(_ context.Context, request *carrier.Request) (*carrier.Response, error) {
+	_, err := io.Copy(io.Discard, request.Body)
+	recorder <- request.Trailer
+	return &carrier.Response{Status: http.StatusOK}, err
+}
--- a/internal/linker/client_exchange.go
+++ b/internal/linker/client_exchange.go
@@ -108,7 +108,7 @@
 	}
 	var data []byte
 	if exchange.inlineBody != nil {
-		head.Trailer = appendHeader(block, request.Trailer)
+		head.Trailer = appendRequestTrailer(block, request.Trailer)
 		data = exchange.inlineBody.Bytes()
 	}
 	err := exchange.write(kindRequestHead, exchange.inlineBody != nil, &head, data)
@@ -152,7 +152,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return exchange.write(kindBodyEnd, true, bodyEnd{Trailer: appendHeader(new(bytes.Buffer), request.Trailer)}, nil) == nil
+			return exchange.write(kindBodyEnd, true, bodyEnd{Trailer: appendRequestTrailer(new(bytes.Buffer), request.Trailer)}, nil) == nil
 		}
 		if err != nil {
 			exchange.bodyError.Store(&err)
--- a/internal/linker/header.go
+++ b/internal/linker/header.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 
@@ -39,6 +40,14 @@
 	return buffer.Bytes()[start:]
 }
 
+// appendRequestTrailer is appendHeader for the trailer of a request, without invalid names. To the
+// names that a request announces, net/http adds others without a check.
+func appendRequestTrailer(buffer *bytes.Buffer, trailer http.Header) headerBlock {
+	trailer = maps.Clone(trailer)
+	maps.DeleteFunc(trailer, func(name string, _ []string) bool { return !httpguts.ValidHeaderFieldName(name) })
+	return appendHeader(buffer, trailer)
+}
+
 // header decodes the block. It returns nil only with an error. It does not rely on the sender
 // for valid names and values: net/http, from which they come, checks them only in part.
 func (block headerBlock) header() (http.Header, error) {
