Refuse requests that announce an invalid trailer

Callers saw: nothing yet; found while looking for unchecked field names in what is read from clients. From the code, not played on processes: a request to cuminstreamd with "Trailer: X Y" got "not run", and its upstream counted as unreachable.

Cause: net/http's client sends no request with such a trailer, and its error came before a connection was chosen. upstreamer took it for a failed dial (*dispatcher.NotStartedError, reason dial), so that the dispatcher sent nothing more to that upstream until its grant was confirmed again.

Change: the router answers 400 (malformed, not run). Names that are not announced are dropped as before and the request is served.

Evidence: router.TestInvalidAnnouncedTrailerIsRefused fails on the code before ("done != malformed", with a stand-in for the holder) and passes now. A trial with upstreamer.Client on the code before: NotStartedError, "not started (dial): net/http: invalid trailer field name". cuminstream-edge passes no trailers on.

--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -13,6 +13,7 @@
 
 	"github.com/cuminstream/cuminstream/internal/carrier"
 	"github.com/cuminstream/cuminstream/internal/configurer"
+	"github.com/cuminstream/cuminstream/internal/verifier"
 	"github.com/cuminstream/cuminstream/pkg/answerer"
 	"github.com/cuminstream/cuminstream/pkg/queuer"
 )
@@ -56,7 +57,7 @@
 		Deadline:      now.Add(match.Timeout),
 	}
 	for _, step := range []func(*http.Request, *configurer.Match, *carrier.Request) *answerer.Error{
-		checkProtocol, readKey, readRank, readID,
+		checkProtocol, checkTrailer, readKey, readRank, readID,
 	} {
 		if err := step(incoming, match, request); err != nil {
 			return request, err
@@ -88,6 +89,13 @@
 	return nil
 }
 
+func checkTrailer(incoming *http.Request, _ *configurer.Match, _ *carrier.Request) *answerer.Error {
+	if err := verifier.FieldNames(incoming.Trailer); err != nil {
+		return answerer.New(answerer.Malformed, "the announced trailer: %w", err)
+	}
+	return nil
+}
+
 func readKey(incoming *http.Request, match *configurer.Match, request *carrier.Request) *answerer.Error {
 	source := match.Service.Key
 	switch {
