--- a/internal/standin/prover/stop_timeout_test.go
+++ b/internal/standin/prover/stop_timeout_test.go
@@ -38,17 +38,23 @@
 	vm, err := launcher.NewVM("vm-a-1", "zone-a", "--stop-timeout", "1s")
 	assert.NilError(t, err)
 	assert.NilError(t, fleet.StartVM(t.Context(), vm))
-	section, err := json.Marshal(map[string]any{"team": "slow", "services": []any{map[string]any{
+	applyService(t, fleet, vm, map[string]any{
 		"name": "slow", "pathPrefix": "/slow", "key": configurer.KeySource{PathSegment: 1}, "checksGrants": false, "rank": queuer.Lookup, "timeout": "20s",
 		"upstreams": []configurer.Upstream{{Name: upstream.Name, Zone: "zone-a", Address: upstream.Address, Slots: 1, Connections: 20}},
-	}}})
+	})
+	return fleet, vm, upstream
+}
+
+// applyService writes the configuration of the fleet's only service, and waits until the VM is
+// ready.
+func applyService(t *testing.T, fleet *launcher.Fleet, vm launcher.VM, service map[string]any) {
+	section, err := json.Marshal(map[string]any{"team": "prover", "services": []any{service}})
 	assert.NilError(t, err)
-	apply := exec.CommandContext(t.Context(), filepath.Join(programs, "cuminstream"), "apply", "slow", "-", "--platform", fleet.Platform)
+	apply := exec.CommandContext(t.Context(), filepath.Join(programs, "cuminstream"), "apply", "prover", "-", "--platform", fleet.Platform)
 	apply.Stdin = bytes.NewReader(section)
 	output, err := apply.CombinedOutput()
 	assert.NilError(t, err, "%s", output)
 	assert.NilError(t, launcher.WaitForStatus(t.Context(), "http://"+vm.Operator+"/readyz", http.StatusOK))
-	return fleet, vm, upstream
 }
 
 // Guards against a planned stop of cuminstreamd that reaches its stop timeout and closes a
