Close the idle connections of a server that sent an invalid response

Cause: net/http puts the connection of a response without a body into its pool before it returns the response, and that of another at the end of the body. The check comes after that. It closed the connection, but net/http notices that later, and gave it to the next request, which failed as not sent.

Change: verifier.Transport closes the idle connections of Base as well, which takes them out of the pool at once, where Base has one server only: requests, grants and probes of cuminstreamd, and the stores. Grants of cuminstream-edge share one pool for all upstreams, so the next grant to that upstream may fail once. A request that waits for a connection at that moment may still get it, and fails as not sent, which is true.

--- a/internal/platformer/client.go
+++ b/internal/platformer/client.go
@@ -84,7 +84,7 @@
 		baseURL: strings.TrimRight(baseURL, "/"),
 		clock:   clock,
 		http: &http.Client{
-			Transport:     &verifier.Transport{Base: transport},
+			Transport:     &verifier.Transport{OneServer: true, Base: transport},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		Timeout: defaultTimeout,
--- a/internal/upstreamer/client.go
+++ b/internal/upstreamer/client.go
@@ -110,7 +110,7 @@
 // newTransport returns a transport that opens at most the given number of connections
 // and counts the bytes written to each.
 func (client *Client) newTransport(connections int) *verifier.Transport {
-	return &verifier.Transport{Base: &http.Transport{
+	return &verifier.Transport{OneServer: true, Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := client.Dial(ctx, network, address)
 			if err != nil {
--- a/internal/verifier/transport.go
+++ b/internal/verifier/transport.go
@@ -14,6 +14,10 @@
 type Transport struct {
 	// Base sends the requests.
 	Base http.RoundTripper
+	// OneServer means that Base has connections to one server only. All its idle ones are
+	// closed then with that of an invalid response, which net/http may have kept for other
+	// requests: it notices only some time later that a connection is closed.
+	OneServer bool
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -29,11 +33,11 @@
 		return nil, err
 	}
 	if err := Response(response); err != nil {
-		closeConnection(conn)
+		transport.reject(conn)
 		_ = response.Body.Close()
 		return nil, err
 	}
-	response.Body = &closingBody{ReadCloser: response.Body, conn: conn}
+	response.Body = &closingBody{ReadCloser: response.Body, reject: func() { transport.reject(conn) }}
 	return response, nil
 }
 
@@ -44,25 +48,26 @@
 	}
 }
 
-// closingBody closes the connection of a response with an invalid trailer.
+// reject closes the connection of an invalid response. It is nil if Base is no *http.Transport.
+func (transport *Transport) reject(conn net.Conn) {
+	if conn != nil {
+		_ = conn.Close()
+	}
+	if transport.OneServer {
+		transport.CloseIdleConnections()
+	}
+}
+
+// closingBody rejects the connection of a response with an invalid trailer.
 type closingBody struct {
 	io.ReadCloser
-	conn net.Conn
+	reject func()
 }
 
 func (body *closingBody) Read(buffer []byte) (int, error) {
 	count, err := body.ReadCloser.Read(buffer)
 	if errors.Is(err, ErrFieldName) {
-		// net/http has put the connection into its pool. A request that has got it
-		// meanwhile fails.
-		closeConnection(body.conn)
+		body.reject()
 	}
 	return count, err
 }
-
-// closeConnection closes the connection. It is nil if Base is no *http.Transport.
-func closeConnection(conn net.Conn) {
-	if conn != nil {
-		_ = conn.Close()
-	}
-}
