Count a streamed response that breaks off as a failed attempt

Cause: the outcome was decided when the head had arrived, and the slot was released with it at the end of the body.

Evidence: courier.TestBrokenStreamIsNoServedRequest fails on the code before ("served != broken") and passes now; a whole body and one whose caller has left count as served, as before.

--- a/internal/courier/attempt.go
+++ b/internal/courier/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,16 +51,20 @@
 			result.FreeSlot, result.Slowness = load.Running < slot.Upstream.Slots, load.Slowness
 		}
 	}
-	release := func() {
+	release := func(broken error) {
+		if broken != nil {
+			result.Outcome = broker.Interrupted
+			exchange.logBroken(slot, broken)
+		}
 		exchange.Allocator.Release(exchange.service.Name, slot, result)
 		if now := exchange.Clock.Now(); response != nil {
 			exchange.runTimes.add(exchange.route.Name, int64(now.Sub(sent)), now)
 		}
 	}
 	if response == nil || response.Rest == nil {
-		release()
+		release(nil)
 	} else {
-		response.Rest = &slotReleasingBody{ReadCloser: response.Rest, release: release}
+		response.Rest = &slotReleasingBody{ReadCloser: response.Rest, callerCtx: exchange.callerCtx, release: release}
 	}
 	exchange.logSent(slot, result, response, err)
 	exchange.Metrics.observeAttempt(exchange.service.Name, result)
@@ -89,15 +94,31 @@
 }
 
 // slotReleasingBody is the unread rest of a response body. Closing it releases the
-// slot.
+// slot, with the error if the upstream has not sent the whole body.
 type slotReleasingBody struct {
 	io.ReadCloser
-	release func()
-	once    sync.Once // it is closed by the reader of the body and at the end of the request
+	callerCtx context.Context
+	release   func(broken error)
+	once      sync.Once // it is closed by the reader of the body and at the end of the request
+	broken    atomic.Pointer[error]
+}
+
+func (body *slotReleasingBody) Read(buffer []byte) (int, error) {
+	count, err := body.ReadCloser.Read(buffer)
+	if err != nil && err != io.EOF && body.callerCtx.Err() == nil {
+		body.broken.Store(&err)
+	}
+	return count, err
 }
 
 func (body *slotReleasingBody) Close() error {
-	body.once.Do(body.release)
+	body.once.Do(func() {
+		var broken error
+		if err := body.broken.Load(); err != nil {
+			broken = *err
+		}
+		body.release(broken)
+	})
 	return body.ReadCloser.Close()
 }
 
