--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -89,6 +89,7 @@
 	return nil
 }
 
+// checkTrailer refuses announced names that net/http does not send.
 func checkTrailer(incoming *http.Request, _ *configurer.Match, _ *carrier.Request) *answerer.Error {
 	if err := verifier.FieldNames(incoming.Trailer); err != nil {
 		return answerer.New(answerer.Malformed, "the announced trailer: %w", err)
--- a/internal/standin/breaker/status.go
+++ b/internal/standin/breaker/status.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// InvalidStatuses returns complete responses whose status is none. lines is added to the head.
+// InvalidStatuses returns complete responses with an invalid status. lines is added to the head.
 func InvalidStatuses(lines string) map[string]Response {
 	responses := map[string]Response{}
 	for _, status := range []string{"000", "001", "050", "099", "0200", "1000", "-200", "+20", "600", "999", "2 0", "20", ""} {
--- a/internal/verifier/connection.go
+++ b/internal/verifier/connection.go
@@ -29,8 +29,11 @@
 // NewConn returns a Conn that reads from and writes to conn.
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
+// DialFunc opens a connection, like net.Dialer.DialContext.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // WrapDial returns a dial function whose connections are Conns.
-func WrapDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+func WrapDial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
