--- a/internal/courier/log.go
+++ b/internal/courier/log.go
@@ -120,7 +120,7 @@
 	exchange.Log.LogAttrs(context.Background(), slog.LevelInfo, "sent", attributes...)
 }
 
-// logBroken logs a response whose body ended early after its head had been logged.
+// logBroken logs that a streamed body ended early, after logSent has logged its head.
 func (exchange *exchange) logBroken(slot Slot, err error) {
 	exchange.Log.LogAttrs(context.Background(), slog.LevelInfo, "response ended early",
 		slog.String("id", exchange.id), slog.String("upstream", slot.Upstream.ID), slog.String("address", slot.Upstream.Address), slog.String("error", err.Error()))
--- a/internal/standin/prover/broken_responses_test.go
+++ b/internal/standin/prover/broken_responses_test.go
@@ -47,12 +47,12 @@
 		}
 		for before := upstream.Ran(); upstream.Ran() == before; {
 			assert.NilError(t, ctx.Err(), "%s has not reached the upstream", name)
-			response, err := postBroken(ctx, vm, number, body)
+			result, err := postBroken(ctx, vm, number, body)
 			if upstream.Ran() == before {
 				time.Sleep(100 * time.Millisecond) // refused, for example because the VM does not know the service yet
 				continue
 			}
-			assert.Check(t, err != nil || response == string(answerer.OutcomeUnknown), "%s: result %q", name, response)
+			assert.Check(t, err != nil || result == string(answerer.OutcomeUnknown), "%s: result %q", name, result)
 		}
 	}
 }
--- a/internal/verifier/interim.go
+++ b/internal/verifier/interim.go
@@ -17,7 +17,7 @@
 	fieldLineBytes = len(": \r\n")
 )
 
-var errInterimBytes = errors.New("too many interim responses")
+var errInterimBytes = errors.New("the interim responses exceed their size limit")
 
 // interimChecker checks the interim responses to a request.
 type interimChecker struct{ bytes int }
--- a/internal/verifier/transport.go
+++ b/internal/verifier/transport.go
@@ -14,9 +14,9 @@
 type Transport struct {
 	// Base sends the requests.
 	Base http.RoundTripper
-	// OneServer means that Base has connections to one server only. All its idle ones are
-	// closed then with that of an invalid response, which net/http may have kept for other
-	// requests: it notices only some time later that a connection is closed.
+	// OneServer means that Base connects to one server only. After an invalid response, all
+	// its idle connections are closed: net/http may have put that of the response into its
+	// pool, and would take it out only some time after it was closed.
 	OneServer bool
 }
 
