review: machines of the stand-ins use ports below the ephemeral range

A port that was free when a machine was made could be taken by an outgoing connection before the machine started: the program then ends because it cannot listen. Seen once in a trial with several cases at a time.

--- a/review/kit3/continue.go
+++ b/review/kit3/continue.go
@@ -41,7 +41,7 @@
 		defer server.Crash()
 	}
 	store.Put("config", "main", config(3,
-		[][]any{{"report", "shop.example", "/report/", "download", 8.0, 2.0, 1, nil, 2, "report"}, {"search", "shop.example", "/search/", "safe", 8.0, 2.0, 1, nil, 2, "report"}},
+		[][]any{{"report", "shop.example", "/report/", "safe", 8.0, 2.0, 1, nil, 2, "report"}, {"search", "shop.example", "/search/", "safe", 8.0, 2.0, 1, nil, 2, "report"}},
 		[][]any{{"report", "/health", 110, "h1", false, nil, nil, nil}}))
 	for index := range 3 {
 		lab.add(fmt.Sprintf("edge-z%d-1", index), fmt.Sprintf("z%d", index)).Start(true)
--- a/review/kit3/edge.go
+++ b/review/kit3/edge.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -57,29 +59,31 @@
 thaw-s = 0.3
 `
 
+// freePorts returns free ports below the range from which the kernel takes those of outgoing
+// connections, in ascending order.
 func freePorts(count int) []int {
 	var ports []int
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		must(err)
+	for attempts := 0; len(ports) < count; attempts++ {
+		port := 12000 + rand.IntN(20000)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			if attempts > 1000 {
+				panic(unable{err})
+			}
+			continue
+		}
 		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
 	}
+	slices.Sort(ports)
 	return ports
 }
 
-// internalPorts returns two free ports, the second above the first.
-func internalPorts() (first, last int) {
-	ports := freePorts(2)
-	return min(ports[0], ports[1]), max(ports[0], ports[1])
-}
-
 // add makes a machine, which is started by Start.
 func (fleet *fleet) add(name, zone string) *Edge {
-	ports := freePorts(2)
-	first, last := internalPorts()
+	ports := freePorts(4)
 	edge := &Edge{
-		Name: name, Zone: zone, Front: fmt.Sprintf("127.0.0.1:%d", ports[0]), Ready: fmt.Sprintf("127.0.0.1:%d", ports[1]),
+		Name: name, Zone: zone, Front: fmt.Sprintf("127.0.0.1:%d", ports[2]), Ready: fmt.Sprintf("127.0.0.1:%d", ports[3]),
 		record: fleet.record, folder: fleet.folder, program: fleet.program,
 	}
 	edge.settings = fmt.Sprintf(`[self]
@@ -120,7 +124,7 @@
 [terms]
 contracts = ["base","drain","config","cost","retry","recover","own","platform"]
 [terms.contract-params]
-%s`, name, zone, first, last, edge.Front, edge.Ready, fleet.store.Addr, fleet.params)
+%s`, name, zone, ports[0], ports[1], edge.Front, edge.Ready, fleet.store.Addr, fleet.params)
 	fleet.edges = append(fleet.edges, edge)
 	return edge
 }
