--- a/review/kit3/edge.go
+++ b/review/kit3/edge.go
@@ -129,11 +129,17 @@
 	return edge
 }
 
+// WriteSettings writes the settings file, as the platform does at every start and whenever
+// the settings change.
+func (edge *Edge) WriteSettings(bootstrap bool) (path string) {
+	path = filepath.Join(edge.folder, edge.Name+".toml")
+	must(os.WriteFile(path, []byte(replace(edge.settings, "BOOTSTRAP", fmt.Sprint(bootstrap))), 0o600))
+	return path
+}
+
 // Start starts the process. bootstrap is true at the first start of the whole system.
 func (edge *Edge) Start(bootstrap bool) {
-	path := filepath.Join(edge.folder, edge.Name+".toml")
-	text := []byte(edge.settings)
-	must(os.WriteFile(path, []byte(replace(string(text), "BOOTSTRAP", fmt.Sprint(bootstrap))), 0o600))
+	path := edge.WriteSettings(bootstrap)
 	log, err := os.OpenFile(filepath.Join(edge.folder, edge.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
 	defer log.Close()
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -20,7 +20,7 @@
 }
 
 // cases by name. They return whether the rule held.
-var cases = map[string]func(lab *lab) bool{"restored": restored, "continue": interimResponse}
+var cases = map[string]func(lab *lab) bool{"restored": restored, "grace": shorterGrace, "continue": interimResponse}
 
 func main() { os.Exit(run()) }
 
