--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -11,7 +11,9 @@
 	"syscall"
 )
 
-func replace(text, old, new string) string { return strings.ReplaceAll(text, old, new) }
+func replace(text, old, replacement string) string {
+	return strings.ReplaceAll(text, old, replacement)
+}
 
 // lab is what a case gets. trouble is false if it leaves the disruption out.
 type lab struct {
--- a/review/kit3/restored.go
+++ b/review/kit3/restored.go
@@ -26,7 +26,7 @@
 		perSecond = 20
 	)
 	record, store := lab.record, lab.store
-	work := func(server *Server, writer http.ResponseWriter, request *http.Request, _ []byte) {
+	work := func(server *Server, writer http.ResponseWriter, _ *http.Request, _ []byte) {
 		time.Sleep(30 * time.Millisecond)
 		server.Seal(writer)
 		_, _ = writer.Write([]byte("quote"))
